--- /dev/null
+++ b/src/websocket/websocket_endpoint.cc
@@ -0,0 +1,1 @@
+#include "websocket/websocket_endpoint.h"
