Add contract module: configuration, settings and their checks

Cause: every process needs the contracts, declarations and settings as validated immutable values, and operators need every fault with its JSON path.

Ruled out: the accessors of the JSON library alone; they throw, accept the last of duplicate fields and stop at the first fault.

Change: object_reader reads the fields of one object, collects findings and reports fields that were not read. Configuration and settings are built on it. Calls are matched against the non-idempotent patterns after normalization of the path, so that another spelling of a call does not escape its pattern. process_role is added to core because settings, events and membership use it.

Trials: the tests fail when the parser may throw, when duplicate fields pass, when prefixes match inside a segment, and when unknown fields pass.

--- /dev/null
+++ b/include/fireflyslip/contract/configuration_parser.h
@@ -0,0 +1,26 @@
+#ifndef FIREFLYSLIP_CONTRACT_CONFIGURATION_PARSER_H_
+#define FIREFLYSLIP_CONTRACT_CONFIGURATION_PARSER_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fireflyslip/contract/configuration.h"
+#include "fireflyslip/contract/finding.h"
+#include "fireflyslip/core/result.h"
+
+namespace fireflyslip {
+
+/// \brief All faults of a configuration document; empty if it is valid.
+std::vector<finding> CheckConfiguration(std::string_view json);
+
+/// \brief Parses a configuration document. An invalid document gives
+/// `kInvalidRequest` with the first finding as its detail.
+result<configuration> ParseConfiguration(std::string_view json);
+
+/// \brief Writes a configuration so that it parses to an equal one.
+std::string ToJson(const configuration& value);
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_CONTRACT_CONFIGURATION_PARSER_H_
--- a/include/fireflyslip/core.h
+++ b/include/fireflyslip/core.h
@@ -8,6 +8,7 @@
 #include "fireflyslip/core/digest.h"
 #include "fireflyslip/core/error.h"
 #include "fireflyslip/core/ids.h"
+#include "fireflyslip/core/process_role.h"
 #include "fireflyslip/core/random_source.h"
 #include "fireflyslip/core/rank.h"
 #include "fireflyslip/core/rendezvous.h"
