Add the platform stand-in and the HTTP server of the stand-ins

Tests and the demo need a platform object API that can be slow, down, silent or lose the answer of a write that took effect. It must not share code with the product's HTTP module, so that one fault cannot hide in both; therefore a small Beast server with coroutines on one thread is added, and a library target, so that tests can run stand-ins in their own process.

--- /dev/null
+++ b/standins/http_server.h
@@ -0,0 +1,50 @@
+#ifndef FIREFLYSLIP_STANDINS_HTTP_SERVER_H_
+#define FIREFLYSLIP_STANDINS_HTTP_SERVER_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <string>
+
+#include "standins/http_exchange.h"
+#include "standins/http_message.h"
+
+namespace fireflyslip::standins {
+
+/// \brief Answers the requests of an `http_server`.
+class http_handler {
+ public:
+  virtual ~http_handler() = default;
+
+  /// \brief Answers one request. An exception is answered by 400.
+  virtual boost::asio::awaitable<void> Handle(const http_request& request,
+                                              http_exchange& exchange) = 0;
+};
+
+/// \brief HTTP/1.1 server with keep-alive for the stand-ins.
+///
+/// It runs on the single thread of its `io_context`. The server and the handler
+/// must outlive the run of the context.
+class http_server {
+ public:
+  /// \brief Listens on the port, or on a free one for port 0. Throws
+  /// `boost::system::system_error` if the address cannot be used.
+  http_server(boost::asio::io_context& context,
+              http_handler& handler,
+              const std::string& address,
+              std::uint16_t port);
+
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+ private:
+  boost::asio::awaitable<void> Accept();
+  boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket socket);
+
+  http_handler& handler_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+};
+
+}  // namespace fireflyslip::standins
+
+#endif  // FIREFLYSLIP_STANDINS_HTTP_SERVER_H_
