--- /dev/null
+++ b/include/fireflyslip/booking/claim_journal.h
@@ -0,0 +1,294 @@
+#ifndef FIREFLYSLIP_BOOKING_CLAIM_JOURNAL_H_
+#define FIREFLYSLIP_BOOKING_CLAIM_JOURNAL_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "fireflyslip/booking/journal_codec.h"
+#include "fireflyslip/core/decision_core.h"
+#include "fireflyslip/core/digest.h"
+#include "fireflyslip/core/error.h"
+#include "fireflyslip/core/ids.h"
+#include "fireflyslip/core/random_source.h"
+#include "fireflyslip/core/time.h"
+
+namespace fireflyslip {
+
+/// \brief Version of an object in the platform's object API.
+using object_version = std::uint64_t;
+
+/// \brief Events and actions of `claim_journal`.
+///
+/// Each `read_journal` is followed by exactly one of `journal_read`,
+/// `journal_missing` and `platform_failed`; each `write_journal` by exactly one
+/// of `journal_written`, `journal_conflict`, `journal_write_unknown` and
+/// `platform_failed`; each `run_call` by one of `run_finished`, `run_failed`.
+namespace booking {
+
+/// \brief The agent started. The seed must differ for each start.
+struct started {
+  incarnation_number incarnation = 0;
+  std::uint64_t update_id_seed = 0;
+  auto operator<=>(const started&) const = default;
+};
+
+/// \brief An attempt asks to run the call of a key (see `ScopedKey`).
+struct claim_requested {
+  attempt_id attempt;
+  idempotency_key key;
+  digest request;  ///< Of method, path and body.
+  time_point deadline;
+  auto operator<=>(const claim_requested&) const = default;
+};
+
+struct run_finished {
+  idempotency_key key;
+  int status = 0;
+  std::string content_type;
+  std::string body;
+  auto operator<=>(const run_finished&) const = default;
+};
+
+/// \brief The call ended without an answer.
+struct run_failed {
+  idempotency_key key;
+  bool may_have_run = true;  ///< False only if no byte reached the service.
+  auto operator<=>(const run_failed&) const = default;
+};
+
+struct journal_read {
+  object_version version = 0;
+  std::string body;
+  auto operator<=>(const journal_read&) const = default;
+};
+
+struct journal_missing {
+  auto operator<=>(const journal_missing&) const = default;
+};
+
+struct journal_written {
+  object_version version = 0;
+  auto operator<=>(const journal_written&) const = default;
+};
+
+/// \brief The object does not have the expected version.
+struct journal_conflict {
+  auto operator<=>(const journal_conflict&) const = default;
+};
+
+/// \brief Time-out or lost answer; the update may take effect, even later.
+struct journal_write_unknown {
+  auto operator<=>(const journal_write_unknown&) const = default;
+};
+
+/// \brief The read failed, or the update failed and will not take effect.
+struct platform_failed {
+  auto operator<=>(const platform_failed&) const = default;
+};
+
+struct resumed_after_pause {
+  auto operator<=>(const resumed_after_pause&) const = default;
+};
+
+/// \brief The entry no longer waits for the attempt.
+struct abandoned {
+  attempt_id attempt;
+  auto operator<=>(const abandoned&) const = default;
+};
+
+struct read_journal {
+  auto operator<=>(const read_journal&) const = default;
+};
+
+struct write_journal {
+  std::optional<object_version> expected;  ///< Absent: must not exist.
+  std::string body;
+  auto operator<=>(const write_journal&) const = default;
+};
+
+/// \brief The claim is durable; run the call that this attempt carries.
+struct run_call {
+  attempt_id attempt;
+  idempotency_key key;
+  auto operator<=>(const run_call&) const = default;
+};
+
+struct answer {
+  attempt_id attempt;
+  stored_answer stored;
+  auto operator<=>(const answer&) const = default;
+};
+
+/// \brief The outcome is that of the error kind in the table of errors.
+struct refuse {
+  attempt_id attempt;
+  error_kind kind = error_kind::kInternalError;
+  std::string detail;
+  auto operator<=>(const refuse&) const = default;
+};
+
+}  // namespace booking
+
+/// \brief Bounds and times of `claim_journal`.
+struct claim_journal_settings {
+  /// Largest answer body kept in the journal, in bytes.
+  std::size_t max_stored_body = 4096;
+  /// Largest journal object, in bytes. The platform accepts 1 MB; the
+  /// difference leaves room for the document's own fields.
+  std::size_t max_journal = 1'000'000 - 4096;
+  /// Time for which a duplicate gets the stored answer. It counts from the
+  /// answer, or from take-over, because agents share no clock.
+  duration answer_retention = std::chrono::hours(1);
+  /// Longest wait for a claim to be written; the deadline may be earlier.
+  duration claim_timeout = seconds(2);
+  /// Wait before the platform is called again after a failure.
+  duration retry_delay = milliseconds(100);
+  /// Least time between the starts of two updates. The platform supports a few
+  /// hundred updates a second for all upstreams together.
+  duration min_write_interval = milliseconds(10);
+};
+
+/// \brief Decision core that runs each call of one upstream at most once.
+///
+/// A claim is written to the journal object before its call runs. All claims
+/// that wait while an update is in progress go into the next one. The object
+/// version fences agents that were paused or replaced. A claim is refused as
+/// `not_run` only while its call has not been handed out: an agent never runs
+/// a claim that it withdrew, and no agent runs a claim that it found. Then a
+/// later attempt with the same key may run, by a claim of its own. `not_run`
+/// concerns the refused attempt, not earlier attempts with the same key.
+class claim_journal {
+ public:
+  using event = std::variant<tick,
+                             booking::started,
+                             booking::claim_requested,
+                             booking::run_finished,
+                             booking::run_failed,
+                             booking::journal_read,
+                             booking::journal_missing,
+                             booking::journal_written,
+                             booking::journal_conflict,
+                             booking::journal_write_unknown,
+                             booking::platform_failed,
+                             booking::resumed_after_pause,
+                             booking::abandoned>;
+  using action = std::variant<booking::read_journal,
+                              booking::write_journal,
+                              booking::run_call,
+                              booking::answer,
+                              booking::refuse>;
+
+  explicit claim_journal(claim_journal_settings settings = {});
+
+  /// \brief `started` must be the first event.
+  std::vector<action> Handle(const event& event, time_point now);
+
+  std::optional<time_point> NextDeadline() const;
+
+  /// \brief Whether this incarnation holds the journal, as far as it knows.
+  bool is_owner() const { return owned_ && phase_ == phase::kActive; }
+  /// \brief Number of keys in memory.
+  std::size_t size() const { return records_.size(); }
+
+ private:
+  enum class phase {
+    kStopped,     ///< `started` has not been handled.
+    kReading,     ///< The contents or the version of the object are unknown.
+    kActive,      ///< The version is known.
+    kSuperseded,  ///< A later incarnation holds the journal.
+  };
+  enum class operation { kNone, kRead, kWrite };
+  enum class stage { kPending, kRunning, kDone };
+
+  struct record {
+    stage at = stage::kPending;
+    std::uint64_t claim = 0;  ///< Tells a claim from a withdrawn older one.
+    journal_record content;
+    std::string encoded;
+    std::size_t reserved = 0;  ///< Bytes accounted for in the journal.
+    std::vector<attempt_id> waiters;
+  };
+  struct waiter {
+    idempotency_key key;
+    time_point deadline;
+    time_point wakes;
+  };
+  /// An update whose effect is not known yet.
+  struct pending_write {
+    std::string update_id;
+    std::uint64_t mutation = 0;
+    std::vector<std::pair<idempotency_key, std::uint64_t>> claims;
+  };
+  using record_map = std::map<idempotency_key, record>;
+
+  void On(const tick& event);
+  void On(const booking::started& event);
+  void On(const booking::claim_requested& event);
+  void On(const booking::run_finished& event);
+  void On(const booking::run_failed& event);
+  void On(const booking::journal_read& event);
+  void On(const booking::journal_missing& event);
+  void On(const booking::journal_written& event);
+  void On(const booking::journal_conflict& event);
+  void On(const booking::journal_write_unknown& event);
+  void On(const booking::platform_failed& event);
+  void On(const booking::resumed_after_pause& event);
+  void On(const booking::abandoned& event);
+
+  void Merge(const journal_document& document);
+  void Supersede();
+  void ConfirmWrite(const pending_write& write, object_version version);
+  void CallPlatform();
+  void StartWrite();
+  void ExpireWaiters();
+  void EvictAnswers();
+
+  void Refuse(const attempt_id& attempt, error_kind kind, std::string detail);
+  void RefuseWaiters(record& claim, error_kind kind, const char* detail);
+  void ReplyFrom(const attempt_id& attempt, const record& claim);
+  void Schedule(const attempt_id& attempt, time_point when);
+  void Forget(const attempt_id& attempt);
+  void RemoveWaiter(record_map::iterator found, const attempt_id& attempt);
+  void Erase(record_map::iterator found);
+  void SetContent(const idempotency_key& key,
+                  record& claim,
+                  journal_record content);
+
+  claim_journal_settings settings_;
+  random_source random_{0};
+  incarnation_number incarnation_ = 0;
+  phase phase_ = phase::kStopped;
+  operation operation_ = operation::kNone;
+  /// Whether the read in progress started before a pause.
+  bool reread_ = false;
+  /// Whether an update of this incarnation took effect.
+  bool owned_ = false;
+  std::optional<object_version> version_;
+  std::string last_update_id_;
+  std::vector<pending_write> unresolved_;
+  /// Counts the changes that must be written; compared with the last update.
+  std::uint64_t mutation_ = 0;
+  std::uint64_t written_mutation_ = 0;
+  std::uint64_t next_claim_ = 1;
+  record_map records_;
+  std::size_t reserved_ = 0;
+  std::map<attempt_id, waiter> waiters_;
+  std::set<std::pair<time_point, attempt_id>> timers_;
+  std::deque<std::pair<time_point, std::pair<idempotency_key, std::uint64_t>>>
+      expiries_;
+  time_point now_;
+  time_point not_before_;
+  std::vector<action> actions_;
+};
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_BOOKING_CLAIM_JOURNAL_H_
