--- /dev/null
+++ b/include/fireflyslip/distribution/chunk_selection_policy.h
@@ -0,0 +1,45 @@
+#ifndef FIREFLYSLIP_DISTRIBUTION_CHUNK_SELECTION_POLICY_H_
+#define FIREFLYSLIP_DISTRIBUTION_CHUNK_SELECTION_POLICY_H_
+
+#include <concepts>
+#include <cstddef>
+#include <span>
+
+#include "fireflyslip/core/random_source.h"
+
+namespace fireflyslip {
+
+/// \brief A missing chunk that at least one usable peer has.
+struct chunk_candidate {
+  std::size_t index = 0;
+  std::size_t holders = 0;  ///< Known peers that have the chunk.
+};
+
+/// \brief Chooses the chunk to fetch next from a peer: a position in the list
+/// of candidates, which is not empty and ordered by index.
+template <typename Policy>
+concept chunk_selection_policy =
+    requires(const Policy& policy,
+             std::span<const chunk_candidate> candidates,
+             random_source& random) {
+  { policy.Select(candidates, random) } -> std::same_as<std::size_t>;
+};
+
+/// \brief Chunk with the fewest holders; a random one among equals, so that
+/// neighbours fetch different chunks.
+class rarest_first_policy {
+ public:
+  std::size_t Select(std::span<const chunk_candidate> candidates,
+                     random_source& random) const;
+};
+
+/// \brief Lowest index first. Baseline.
+class sequential_policy {
+ public:
+  std::size_t Select(std::span<const chunk_candidate> candidates,
+                     random_source& random) const;
+};
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_DISTRIBUTION_CHUNK_SELECTION_POLICY_H_
