Add thin request path: entry and agent daemons

Issue: no request was served from one end to the other. This adds the entry (filters identify and forward), the agent (runs attempts on its upstream) and their control plane, bound to real sockets.

Cause of a crash found on the way: g++ 12 corrupts arguments that are passed by value or as brace-initialized aggregates within a co_await expression; the first streamed answer ended in an invalid free or a wrong this pointer. Ruled out: mixed C++17 and C++20 objects (the link tests pass) and recycled coroutine frames (the fault remains without recycling).

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -272,8 +272,8 @@
     const auto self = shared_from_this();
     if (connections_.size() >= limits_.connections) {
       stream_writer<Stream> writer(stream, link, false);
-      co_await writer.Send(ProblemResponse(
-          {error_kind::kOverloaded, "too many open connections"}));
+      const error problem{error_kind::kOverloaded, "too many open connections"};
+      co_await writer.Send(ProblemResponse(problem));
       co_return;
     }
     connections_.insert(&link);
--- a/src/platform/object_client.cc
+++ b/src/platform/object_client.cc
@@ -46,8 +46,10 @@
 awaitable<result<std::optional<platform_object>>> object_client::Read(
     std::string target,
     duration timeout) {
-  const result<http_response> answered = co_await client_.Request(
-      platform_, {"GET", std::move(target), {}, {}}, timeout);
+  http_request request;
+  request.target = std::move(target);
+  const result<http_response> answered =
+      co_await client_.Request(platform_, std::move(request), timeout);
   if (!IsOk(answered)) {
     co_return Unavailable(ErrorOf(answered).detail);
   }
--- /dev/null
+++ b/src/program/fleet_snapshot.cc
@@ -0,0 +1,69 @@
+#include "program/fleet_snapshot.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace fireflyslip {
+namespace {
+
+std::string Text(const nlohmann::json& entry, const char* name) {
+  const auto found = entry.find(name);
+  return found != entry.end() && found->is_string() ? found->get<std::string>()
+                                                    : std::string();
+}
+
+std::optional<http_endpoint> ParseEndpoint(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  http_endpoint endpoint{text.substr(0, colon), 0};
+  const char* end = text.data() + text.size();
+  const auto [position, code] =
+      std::from_chars(text.data() + colon + 1, end, endpoint.port);
+  if (code != std::errc() || position != end) {
+    return std::nullopt;
+  }
+  return endpoint;
+}
+
+std::optional<fleet_member> ParseMember(const nlohmann::json& entry) {
+  if (!entry.is_object()) {
+    return std::nullopt;
+  }
+  fleet_member member;
+  member.vm = vm_id(Text(entry, "vm"));
+  member.data_centre = data_centre_id(Text(entry, "data_centre"));
+  member.region = region_id(Text(entry, "region"));
+  member.leaving = Text(entry, "state") == "leaving";
+  const std::string role = Text(entry, "role");
+  const auto link = ParseEndpoint(Text(entry, "link"));
+  const auto admin = ParseEndpoint(Text(entry, "admin"));
+  if (member.vm.empty() || !link || !admin ||
+      (role != "entry" && role != "agent")) {
+    return std::nullopt;
+  }
+  member.role = role == "entry" ? process_role::kEntry : process_role::kAgent;
+  member.link = *link;
+  member.admin = *admin;
+  return member;
+}
+
+}  // namespace
+
+result<fleet_members> ParseVmList(std::string_view json) {
+  const auto list = nlohmann::json::parse(json, nullptr, false);
+  if (!list.is_array()) {
+    return error{error_kind::kProtocolError, "VM list is not a JSON array"};
+  }
+  fleet_members members;
+  for (const nlohmann::json& entry : list) {
+    if (std::optional<fleet_member> member = ParseMember(entry)) {
+      members.emplace(member->vm, *member);
+    }
+  }
+  return members;
+}
+
+}  // namespace fireflyslip
--- /dev/null
+++ b/src/program/fleet_snapshot.h
@@ -0,0 +1,47 @@
+#ifndef FIREFLYSLIP_PROGRAM_FLEET_SNAPSHOT_H_
+#define FIREFLYSLIP_PROGRAM_FLEET_SNAPSHOT_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "fireflyslip/contract.h"
+#include "fireflyslip/core.h"
+#include "fireflyslip/http/http_message.h"
+
+namespace fireflyslip {
+
+/// \brief A process of the system in the platform's VM list.
+struct fleet_member {
+  vm_id vm;
+  data_centre_id data_centre;
+  region_id region;
+  process_role role = process_role::kEntry;
+  http_endpoint link;
+  http_endpoint admin;
+  bool leaving = false;
+
+  auto operator<=>(const fleet_member&) const = default;
+};
+
+using fleet_members = std::map<vm_id, fleet_member>;
+
+/// \brief What the control thread publishes to the traffic thread.
+struct fleet_snapshot {
+  std::uint64_t revision = 0;  ///< 0 until a configuration is known.
+  fireflyslip::configuration configuration;
+  fleet_members members;
+};
+
+using snapshot_pointer = std::shared_ptr<const fleet_snapshot>;
+
+/// \brief Parses the platform's VM list; entries of an unknown role are
+/// skipped, because the platform lists other VMs too. Fails with
+/// `kProtocolError` on malformed JSON.
+result<fleet_members> ParseVmList(std::string_view json);
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_PROGRAM_FLEET_SNAPSHOT_H_
--- a/src/program/main.cc
+++ b/src/program/main.cc
@@ -1,10 +1,74 @@
 #include <CLI/CLI.hpp>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <string>
 
-int main(int argc, char** argv) {
+#include "fireflyslip/contract.h"
+#include "fireflyslip/runtime.h"
+#include "program/daemon.h"
+
+namespace fireflyslip {
+namespace {
+
+constexpr int kExitInvalid = 2;
+
+/// \brief Reads settings for a role; writes each fault to standard error.
+std::optional<process_settings> ReadSettings(const std::string& file,
+                                             process_role role) {
+  std::ifstream input(file);
+  if (!input) {
+    std::cerr << "cannot read " << file << "\n";
+    return std::nullopt;
+  }
+  const std::string text((std::istreambuf_iterator<char>(input)),
+                         std::istreambuf_iterator<char>());
+  const std::vector<finding> findings = CheckSettings(text, role);
+  for (const finding& fault : findings) {
+    std::cerr << file << ": " << fault.path << ": " << fault.reason << "\n";
+  }
+  result<process_settings> settings = ParseSettings(text, role);
+  if (!IsOk(settings)) {
+    return std::nullopt;
+  }
+  return ValueOf(std::move(settings));
+}
+
+int RunDaemon(const std::string& file, process_role role) {
+  std::optional<process_settings> settings = ReadSettings(file, role);
+  if (!settings) {
+    return kExitInvalid;
+  }
+  StartLogging();
+  return role == process_role::kEntry ? RunEntry(*std::move(settings))
+                                      : RunAgent(*std::move(settings));
+}
+
+int Main(int argc, char** argv) {
   CLI::App app("Weight distribution and request routing for model VMs",
                "fireflyslip");
   app.set_version_flag("--version", "0.1.0");
-  app.require_subcommand(0, 1);
+  app.require_subcommand(1);
+
+  std::string settings_file;
+  CLI::App* entry = app.add_subcommand("entry", "Run an entry");
+  entry->add_option("--settings", settings_file, "Settings file (JSON)")
+      ->required();
+  CLI::App* agent = app.add_subcommand("agent", "Run an agent");
+  agent->add_option("--settings", settings_file, "Settings file (JSON)")
+      ->required();
+
   CLI11_PARSE(app, argc, argv);
-  return 0;
+  if (entry->parsed()) {
+    return RunDaemon(settings_file, process_role::kEntry);
+  }
+  return RunDaemon(settings_file, process_role::kAgent);
+}
+
+}  // namespace
+}  // namespace fireflyslip
+
+int main(int argc, char** argv) {
+  return fireflyslip::Main(argc, argv);
 }
--- /dev/null
+++ b/src/program/request_context.cc
@@ -0,0 +1,154 @@
+#include "program/request_context.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace fireflyslip {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::string_view kCompletionsPath = "/v1/chat/completions";
+constexpr std::string_view kServicesPrefix = "/services/";
+constexpr std::string_view kBearerPrefix = "Bearer ";
+constexpr std::uint64_t kDefaultMaxTokens = 256;
+constexpr std::uint64_t kMaxTokensBound = 1'000'000;
+constexpr std::size_t kBytesPerToken = 4;
+constexpr std::size_t kMaxKeyBytes = 256;
+constexpr milliseconds kMaxDeadline = std::chrono::hours(1);
+
+error Invalid(std::string detail) {
+  return {error_kind::kInvalidRequest, std::move(detail)};
+}
+
+status IdentifyWorkspace(request_context& context) {
+  std::string_view key = context.request.Field("Authorization");
+  if (!key.starts_with(kBearerPrefix)) {
+    return error{error_kind::kUnauthorized, "no bearer key"};
+  }
+  key.remove_prefix(kBearerPrefix.size());
+  const configuration& current = context.snapshot->configuration;
+  const workspace_id* workspace = current.FindWorkspace(digest::Of(key));
+  if (workspace == nullptr) {
+    return error{error_kind::kUnauthorized, "unknown key"};
+  }
+  context.workspace = *workspace;
+  context.weight = current.Find(*workspace)->weight;
+  return std::monostate();
+}
+
+status IdentifyRank(request_context& context) {
+  const std::string_view name = context.request.Field("X-Rank");
+  if (!name.empty()) {
+    const std::optional<request_rank> rank = ParseRank(name);
+    if (!rank) {
+      return Invalid("X-Rank is not urgent, standard or background");
+    }
+    context.rank = *rank;
+  }
+  const contract& terms =
+      *context.snapshot->configuration.Find(context.workspace);
+  milliseconds allowed = terms.TermsOf(context.rank).deadline;
+  const std::string_view text = context.request.Field("X-Deadline-Ms");
+  if (!text.empty()) {
+    std::int64_t value = 0;
+    const char* end = text.data() + text.size();
+    const auto [position, code] = std::from_chars(text.data(), end, value);
+    if (code != std::errc() || position != end || value <= 0) {
+      return Invalid("X-Deadline-Ms is not a positive number");
+    }
+    allowed = std::min(milliseconds(value), kMaxDeadline);
+  }
+  context.deadline = context.arrival + allowed;
+  return std::monostate();
+}
+
+status IdentifyModelRequest(request_context& context) {
+  if (context.request.method != "POST") {
+    return Invalid("chat completions need POST");
+  }
+  const json body = json::parse(context.request.body, nullptr, false);
+  if (!body.is_object()) {
+    return Invalid("the body is not a JSON object");
+  }
+  const auto model = body.find("model");
+  if (model == body.end() || !model->is_string()) {
+    return Invalid("$.model is missing or not a string");
+  }
+  const auto messages = body.find("messages");
+  if (messages == body.end() || !messages->is_array() || messages->empty()) {
+    return Invalid("$.messages is missing or not an array with entries");
+  }
+  const auto stream = body.find("stream");
+  if (stream != body.end() && !stream->is_boolean()) {
+    return Invalid("$.stream is not a boolean");
+  }
+  const auto limit = body.find("max_tokens");
+  if (limit != body.end() && (!limit->is_number_unsigned() || *limit == 0 ||
+                              *limit > kMaxTokensBound)) {
+    return Invalid("$.max_tokens is not a number from 1 to 1000000");
+  }
+  context.model = model_name(model->get<std::string>());
+  if (context.snapshot->configuration.Find(context.model) == nullptr) {
+    return error{error_kind::kNotFound, "model is not declared"};
+  }
+  context.streaming = stream != body.end() && stream->get<bool>();
+  context.estimated_tokens =
+      (limit != body.end() ? limit->get<std::uint64_t>() : kDefaultMaxTokens) +
+      context.request.body.size() / kBytesPerToken;
+  return std::monostate();
+}
+
+status IdentifyServiceCall(request_context& context) {
+  std::string_view rest = context.request.target;
+  rest.remove_prefix(kServicesPrefix.size());
+  const std::size_t end = rest.find_first_of("/?");
+  context.service = service_name(std::string(rest.substr(0, end)));
+  context.service_path =
+      end == std::string_view::npos ? "/" : std::string(rest.substr(end));
+  if (context.service_path.front() == '?') {
+    context.service_path.insert(0, 1, '/');
+  }
+  const configuration& current = context.snapshot->configuration;
+  if (current.Find(context.service) == nullptr) {
+    return error{error_kind::kNotFound, "service is not declared"};
+  }
+  context.estimated_tokens = 1;
+  context.non_idempotent = current.IsNonIdempotent(
+      context.service, context.request.method, context.service_path);
+  context.key =
+      idempotency_key(std::string(context.request.Field("Idempotency-Key")));
+  if (context.non_idempotent && context.key.empty()) {
+    return error{error_kind::kIdempotencyKeyRequired,
+                 "the call is declared as non-idempotent"};
+  }
+  if (context.key.value().size() > kMaxKeyBytes) {
+    return Invalid("Idempotency-Key is longer than 256 bytes");
+  }
+  return std::monostate();
+}
+
+}  // namespace
+
+status IdentifyRequest(request_context& context) {
+  if (context.snapshot->revision == 0) {
+    return error{error_kind::kPlatformUnavailable,
+                 "no configuration is known yet"};
+  }
+  if (status known = IdentifyWorkspace(context); !IsOk(known)) {
+    return known;
+  }
+  if (status known = IdentifyRank(context); !IsOk(known)) {
+    return known;
+  }
+  if (context.request.path() == kCompletionsPath) {
+    return IdentifyModelRequest(context);
+  }
+  if (context.request.path().starts_with(kServicesPrefix)) {
+    return IdentifyServiceCall(context);
+  }
+  return error{error_kind::kNotFound, "no such path"};
+}
+
+}  // namespace fireflyslip
--- /dev/null
+++ b/src/program/request_context.h
@@ -0,0 +1,50 @@
+#ifndef FIREFLYSLIP_PROGRAM_REQUEST_CONTEXT_H_
+#define FIREFLYSLIP_PROGRAM_REQUEST_CONTEXT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "fireflyslip/core.h"
+#include "fireflyslip/http.h"
+#include "program/fleet_snapshot.h"
+
+namespace fireflyslip {
+
+/// \brief A caller's request on its way through the filters of the entry.
+struct request_context {
+  request_id id;
+  time_point arrival;
+  time_point deadline;
+  http_request request;
+  /// The configuration in force when the request arrived.
+  snapshot_pointer snapshot;
+
+  // Set by the filter `identify`.
+  workspace_id workspace;
+  double weight = 1;
+  request_rank rank = request_rank::kStandard;
+  model_name model;      ///< Empty for a service call.
+  service_name service;  ///< Empty for a model request.
+  std::string service_path;
+  idempotency_key key;
+  bool non_idempotent = false;
+  bool streaming = false;
+  std::uint64_t estimated_tokens = 0;
+
+  // Set by the filter `forward`.
+  bool response_started = false;
+  std::uint32_t attempts = 0;
+  std::uint64_t parts = 0;
+  /// What is known about the execution, if it differs from the error table.
+  std::optional<outcome> known_outcome;
+  std::optional<duration> retry_after;
+};
+
+/// \brief Fills in what the request line, headers and body say. Fails with the
+/// error that the caller gets.
+status IdentifyRequest(request_context& context);
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_PROGRAM_REQUEST_CONTEXT_H_
