Add configuration module: relay of the accepted configuration

Ruled out: a watch by every process, whose calls grow with the fleet; pushing the body to all peers, which sends a process one copy for each of its peers.

Change: configuration_relay.

--- /dev/null
+++ b/include/fireflyslip/configuration.h
@@ -0,0 +1,10 @@
+#ifndef FIREFLYSLIP_CONFIGURATION_H_
+#define FIREFLYSLIP_CONFIGURATION_H_
+
+/// \brief Module configuration: spreads the accepted configuration to every
+/// process.
+
+#include "fireflyslip/configuration/configuration_relay.h"
+#include "fireflyslip/configuration/relay_messages.h"
+
+#endif  // FIREFLYSLIP_CONFIGURATION_H_
