Replace else beside a channel operation in the relay model

Cause: Spin reports an else beside nfull() as dubious, although it generated the verifier. Ruled out: ignoring the report, which would hide later ones.

Change: the else is written out as the opposite condition.

--- a/spec/configuration_relay.pml
+++ b/spec/configuration_relay.pml
@@ -103,7 +103,7 @@
           :: inbox[from]!body(me, known[me], true)
           :: faults > 0 -> faults--; inbox[from]!body(me, known[me], false)
           fi
-       :: else
+       :: known[me] <= revision || full(inbox[from])
        fi;
        forget()
      }
