Add delivery module: attempt ledger and answer assembler

Ruled out: answering a fate query for an unheard-of attempt without a record, because its delayed arrival would run; calling an attempt below the low-water mark `not_run`, because an earlier copy may have run; a cumulative acknowledgement, because attempts of one entry end in any order.

The change: attempt_ledger admits each attempt id once, records refusals before it reports them, keeps answers within 16 MB and 30 s until acknowledged and replays them when a link resumes. answer_assembler forwards parts of the present attempt in offset order, fixes the version with the first forwarded part, and resumes only on that version. Offsets count parts.

Conclusion: 1,024 ended attempts are remembered for each entry; older ids are answered `unknown`.

--- /dev/null
+++ b/include/fireflyslip/delivery/attempt_ledger.h
@@ -0,0 +1,255 @@
+#ifndef FIREFLYSLIP_DELIVERY_ATTEMPT_LEDGER_H_
+#define FIREFLYSLIP_DELIVERY_ATTEMPT_LEDGER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "fireflyslip/core/decision_core.h"
+#include "fireflyslip/core/error.h"
+#include "fireflyslip/core/ids.h"
+#include "fireflyslip/core/time.h"
+
+namespace fireflyslip {
+
+/// \brief Events and actions of `attempt_ledger` and `answer_assembler`.
+namespace delivery {
+
+/// \brief One run of an entry process. Its request sequences only grow.
+struct entry_id {
+  vm_id vm;
+  incarnation_number incarnation = 0;
+  auto operator<=>(const entry_id&) const = default;
+};
+
+/// \brief How an attempt ended: with an HTTP status or with an error.
+struct attempt_end {
+  /// Offset after the last part; offsets count parts of the whole answer.
+  std::uint64_t parts = 0;
+  int status = 0;                  ///< HTTP status; 0 with an error.
+  std::optional<error_kind> kind;  ///< Absent for a complete answer.
+  outcome result = outcome::kCompleted;
+  std::string detail;
+  auto operator<=>(const attempt_end&) const = default;
+};
+
+enum class fate_state { kUnknown, kQueued, kRunning, kRefused, kCompleted };
+
+/// \brief An attempt came over a link. Its parts start at `first_offset`.
+struct attempt_arrived {
+  attempt_id attempt;
+  std::uint64_t first_offset = 0;
+  auto operator<=>(const attempt_arrived&) const = default;
+};
+
+/// \brief The queued attempt was handed to the engine or service.
+struct run_started {
+  attempt_id attempt;
+  auto operator<=>(const run_started&) const = default;
+};
+
+struct part_made {
+  attempt_id attempt;
+  model_version version;  ///< Empty for a plain service.
+  std::string data;
+  auto operator<=>(const part_made&) const = default;
+};
+
+/// \brief The run ended; `end.parts` is set by the ledger.
+struct run_ended {
+  attempt_id attempt;
+  attempt_end end;
+  auto operator<=>(const run_ended&) const = default;
+};
+
+/// \brief The agent refuses an attempt that it has not started.
+struct refuse_attempt {
+  attempt_id attempt;
+  error_kind kind = error_kind::kOverloaded;
+  std::string detail;
+  auto operator<=>(const refuse_attempt&) const = default;
+};
+
+struct cancel {
+  attempt_id attempt;
+  auto operator<=>(const cancel&) const = default;
+};
+
+/// \brief The entry has the whole answer.
+struct acknowledged {
+  attempt_id attempt;
+  auto operator<=>(const acknowledged&) const = default;
+};
+
+struct fate_queried {
+  attempt_id attempt;
+  auto operator<=>(const fate_queried&) const = default;
+};
+
+struct link_lost {
+  entry_id entry;
+  auto operator<=>(const link_lost&) const = default;
+};
+
+struct link_resumed {
+  entry_id entry;
+  auto operator<=>(const link_resumed&) const = default;
+};
+
+/// \brief The attempt is new: queue it.
+struct admit {
+  attempt_id attempt;
+  auto operator<=>(const admit&) const = default;
+};
+
+/// \brief Remove the attempt from the queue, or cancel its run.
+struct stop_run {
+  attempt_id attempt;
+  auto operator<=>(const stop_run&) const = default;
+};
+
+struct send_part {
+  attempt_id attempt;
+  std::uint64_t offset = 0;
+  model_version version;
+  std::string data;
+  auto operator<=>(const send_part&) const = default;
+};
+
+struct send_end {
+  attempt_id attempt;
+  attempt_end end;
+  auto operator<=>(const send_end&) const = default;
+};
+
+struct send_fate {
+  attempt_id attempt;
+  fate_state state = fate_state::kUnknown;
+  auto operator<=>(const send_fate&) const = default;
+};
+
+}  // namespace delivery
+
+/// \brief Bounds and times of `attempt_ledger`.
+struct attempt_ledger_settings {
+  /// Largest sum of kept parts, in bytes. An agent has 128 MB for all control.
+  std::size_t max_kept_bytes = 16'000'000;
+  /// Time for which an answer waits for its acknowledgement.
+  duration answer_retention = seconds(30);
+  /// Ended attempts remembered for each entry, above the low-water mark. At
+  /// about 300 bytes each, 32 entries take 10 MB.
+  std::size_t max_remembered = 1024;
+  /// Time after which an entry without open attempts is forgotten. A link that
+  /// is silent for 3 s is closed, so no message of it can arrive this late.
+  duration entry_retention = std::chrono::hours(1);
+};
+
+/// \brief Decision core of the agent that runs each attempt id at most once.
+///
+/// A refusal is recorded before it is reported, so that a delayed first arrival
+/// of a refused attempt is dropped and `not_run` holds. For each entry
+/// incarnation the ledger remembers the attempts above a low-water mark; one
+/// below it that is not open is neither run nor called `not_run`.
+class attempt_ledger {
+ public:
+  using event = std::variant<tick,
+                             delivery::attempt_arrived,
+                             delivery::run_started,
+                             delivery::part_made,
+                             delivery::run_ended,
+                             delivery::refuse_attempt,
+                             delivery::cancel,
+                             delivery::acknowledged,
+                             delivery::fate_queried,
+                             delivery::link_lost,
+                             delivery::link_resumed>;
+  using action = std::variant<delivery::admit,
+                              delivery::stop_run,
+                              delivery::send_part,
+                              delivery::send_end,
+                              delivery::send_fate>;
+
+  explicit attempt_ledger(attempt_ledger_settings settings = {});
+
+  std::vector<action> Handle(const event& event, time_point now);
+  std::optional<time_point> NextDeadline() const;
+
+  std::size_t kept_bytes() const { return kept_bytes_; }
+  /// \brief Number of attempts that are queued or running.
+  std::size_t open_attempts() const { return open_; }
+
+ private:
+  enum class stage { kQueued, kRunning, kEnded, kRefused, kClosed };
+  struct part {
+    model_version version;
+    std::string data;
+  };
+  struct attempt_state {
+    stage at = stage::kQueued;
+    std::uint64_t first_offset = 0;
+    std::uint64_t next_offset = 0;
+    std::vector<part> parts;
+    std::size_t bytes = 0;
+    bool parts_dropped = false;
+    std::optional<model_version> version;
+    delivery::attempt_end end;
+    time_point expires;
+  };
+  using attempt_map = std::map<attempt_id, attempt_state>;
+  struct entry_state {
+    attempt_map attempts;
+    std::set<attempt_id> closed;  ///< Refused or closed.
+    /// Attempts up to this one that are not in `attempts` are forgotten.
+    std::optional<attempt_id> low_water_mark;
+    bool connected = true;
+    time_point last_event;
+  };
+
+  void On(const tick& event);
+  void On(const delivery::attempt_arrived& event);
+  void On(const delivery::run_started& event);
+  void On(const delivery::part_made& event);
+  void On(const delivery::run_ended& event);
+  void On(const delivery::refuse_attempt& event);
+  void On(const delivery::cancel& event);
+  void On(const delivery::acknowledged& event);
+  void On(const delivery::fate_queried& event);
+  void On(const delivery::link_lost& event);
+  void On(const delivery::link_resumed& event);
+
+  entry_state& EntryOf(const attempt_id& attempt);
+  attempt_state* Find(const attempt_id& attempt);
+  static bool IsForgotten(const entry_state& entry, const attempt_id& attempt);
+  void Refuse(const attempt_id& attempt,
+              error_kind kind,
+              const std::string& detail);
+  void End(const attempt_id& attempt,
+           attempt_state& state,
+           delivery::attempt_end end);
+  void Close(const attempt_id& attempt, attempt_state& state);
+  void DropParts(const attempt_id& attempt, attempt_state& state);
+  void Replay(const attempt_id& attempt, const attempt_state& state);
+  void Remember(entry_state& entry, const attempt_id& attempt);
+  void EnforceByteBound();
+  void Expire();
+
+  attempt_ledger_settings settings_;
+  std::map<delivery::entry_id, entry_state> entries_;
+  std::set<std::pair<time_point, attempt_id>> expiries_;
+  std::set<attempt_id> running_with_parts_;
+  std::size_t kept_bytes_ = 0;
+  std::size_t open_ = 0;
+  time_point now_;
+  time_point next_entry_scan_;
+  std::vector<action> actions_;
+};
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_DELIVERY_ATTEMPT_LEDGER_H_
