Add orders module: order sequencer

Agents are paused or replaced while orders to their engine are in flight, and some engines ignore fencing tokens.

Ruled out: repeating an order after a lost answer at once, because the first may overtake the second; stopping all orders in a platform outage, because accepted rollouts must continue.

The change: order_sequencer raises a token by conditional update of the fence and sends one order at a time. For an engine that ignores tokens it reads the fence before each order, the order expires a fixed time after that read, and a new incarnation waits as long before its first order. The engine's report is read after each order and periodically.

Conclusion: a holder that is partitioned from the platform may still order an unchecked engine; the periodic comparison corrects the result.

--- /dev/null
+++ b/include/fireflyslip/orders/order_sequencer.h
@@ -0,0 +1,245 @@
+#ifndef FIREFLYSLIP_ORDERS_ORDER_SEQUENCER_H_
+#define FIREFLYSLIP_ORDERS_ORDER_SEQUENCER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "fireflyslip/core/decision_core.h"
+#include "fireflyslip/core/ids.h"
+#include "fireflyslip/core/time.h"
+
+namespace fireflyslip {
+
+/// \brief Events and actions of `order_sequencer`.
+///
+/// Each `read_fence` is followed by exactly one of `fence_read`,
+/// `fence_missing` and `fence_failed`; each `write_fence` by exactly one of
+/// `fence_written`, `fence_conflict`, `fence_write_unknown` and `fence_failed`;
+/// each `read_engine_state` by one `engine_state`.
+namespace orders {
+
+/// \brief Contents of the object `fence/UPSTREAM`.
+struct fence_value {
+  std::uint64_t token = 0;
+  incarnation_number incarnation = 0;  ///< Agent that raised the token.
+  auto operator<=>(const fence_value&) const = default;
+};
+
+/// \brief What an engine serves or shall serve.
+struct engine_content {
+  model_name model;
+  model_version version;
+  auto operator<=>(const engine_content&) const = default;
+};
+
+struct started {
+  incarnation_number incarnation = 0;
+  auto operator<=>(const started&) const = default;
+};
+
+struct fence_read {
+  std::uint64_t version = 0;  ///< Version of the object.
+  fence_value value;
+  auto operator<=>(const fence_read&) const = default;
+};
+
+struct fence_missing {
+  auto operator<=>(const fence_missing&) const = default;
+};
+
+struct fence_written {
+  std::uint64_t version = 0;  ///< Version of the object.
+  auto operator<=>(const fence_written&) const = default;
+};
+
+struct fence_conflict {
+  auto operator<=>(const fence_conflict&) const = default;
+};
+
+/// \brief The read failed, or the update failed and will not take effect.
+struct fence_failed {
+  auto operator<=>(const fence_failed&) const = default;
+};
+
+/// \brief Time-out or lost answer of an update.
+struct fence_write_unknown {
+  auto operator<=>(const fence_write_unknown&) const = default;
+};
+
+/// \brief What the engine shall serve.
+struct desired {
+  engine_content content;
+  auto operator<=>(const desired&) const = default;
+};
+
+/// \brief What the engine reports; absent when it could not be asked.
+struct engine_state {
+  std::optional<engine_content> reported;
+  auto operator<=>(const engine_state&) const = default;
+};
+
+enum class order_result { kOk, kStaleFence, kCannotLoad, kUnknown };
+
+struct order_answered {
+  std::uint64_t order = 0;  ///< Number in `send_order`.
+  order_result result = order_result::kUnknown;
+  std::string reason;
+  auto operator<=>(const order_answered&) const = default;
+};
+
+struct resumed_after_pause {
+  auto operator<=>(const resumed_after_pause&) const = default;
+};
+
+struct read_fence {
+  auto operator<=>(const read_fence&) const = default;
+};
+
+struct write_fence {
+  std::optional<std::uint64_t> expected;  ///< Absent: must not exist.
+  fence_value value;
+  auto operator<=>(const write_fence&) const = default;
+};
+
+enum class order_kind { kLoad };
+
+/// \brief Must not be transmitted, nor its connection stay open, after expiry.
+struct send_order {
+  std::uint64_t order = 0;
+  order_kind kind = order_kind::kLoad;
+  engine_content content;
+  std::uint64_t fence = 0;
+  time_point expiry;
+  auto operator<=>(const send_order&) const = default;
+};
+
+struct read_engine_state {
+  auto operator<=>(const read_engine_state&) const = default;
+};
+
+/// \brief The engine serves the desired content, or can't load it.
+struct report {
+  engine_content content;
+  bool serving = false;
+  std::string reason;  ///< Why the engine can't load; empty when serving.
+  auto operator<=>(const report&) const = default;
+};
+
+}  // namespace orders
+
+/// \brief Kind of engine and times of `order_sequencer`.
+struct order_sequencer_settings {
+  /// Whether the engine refuses an order with a stale fencing token.
+  bool checks_fencing = true;
+  /// Longest life of an order. All agents must use the same value, because a
+  /// new incarnation waits this long for the orders of the previous one.
+  duration order_expiry = seconds(30);
+  /// Wait before a failed call is repeated.
+  duration retry_delay = milliseconds(200);
+  /// Time between reads of the engine's state, which reveal a restarted engine.
+  duration check_interval = seconds(5);
+};
+
+/// \brief Decision core that gives an engine its orders, one at a time.
+///
+/// An agent first raises the fencing token in the platform. An engine that
+/// ignores tokens is protected by time: before each order the agent reads the
+/// fence again, the order expires a fixed time after that read, and a new
+/// incarnation waits as long after its own update. When the platform can't be
+/// reached the holder goes on, because accepted rollouts continue during an
+/// outage; periodic comparison with the engine's report corrects what an order
+/// of a partitioned holder may have changed. After a pause the holder always
+/// waits for the platform.
+class order_sequencer {
+ public:
+  using event = std::variant<tick,
+                             orders::started,
+                             orders::fence_read,
+                             orders::fence_missing,
+                             orders::fence_written,
+                             orders::fence_conflict,
+                             orders::fence_failed,
+                             orders::fence_write_unknown,
+                             orders::desired,
+                             orders::engine_state,
+                             orders::order_answered,
+                             orders::resumed_after_pause>;
+  using action = std::variant<orders::read_fence,
+                              orders::write_fence,
+                              orders::send_order,
+                              orders::read_engine_state,
+                              orders::report>;
+
+  explicit order_sequencer(order_sequencer_settings settings = {});
+
+  /// \brief `started` must be the first event.
+  std::vector<action> Handle(const event& event, time_point now);
+  std::optional<time_point> NextDeadline() const;
+
+  /// \brief Whether this incarnation holds the fence, as far as it knows.
+  bool is_owner() const { return phase_ == phase::kOwner; }
+
+ private:
+  enum class phase { kStopped, kAcquiring, kOwner, kSuperseded };
+  enum class platform_call { kNone, kRead, kWrite };
+  enum class engine_call { kNone, kState, kOrder };
+
+  void On(const tick& event);
+  void On(const orders::started& event);
+  void On(const orders::fence_read& event);
+  void On(const orders::fence_missing& event);
+  void On(const orders::fence_written& event);
+  void On(const orders::fence_conflict& event);
+  void On(const orders::fence_failed& event);
+  void On(const orders::fence_write_unknown& event);
+  void On(const orders::desired& event);
+  void On(const orders::engine_state& event);
+  void On(const orders::order_answered& event);
+  void On(const orders::resumed_after_pause& event);
+
+  bool EndRead();
+  void RaiseFence(std::optional<std::uint64_t> expected, std::uint64_t token);
+  void BecomeOwner();
+  void OrderUnknown();
+  bool WantsOrder() const;
+  void CallPlatform();
+  void CallEngine();
+  void SendOrder();
+  void ReportServing();
+
+  order_sequencer_settings settings_;
+  phase phase_ = phase::kStopped;
+  incarnation_number incarnation_ = 0;
+  platform_call platform_ = platform_call::kNone;
+  engine_call engine_ = engine_call::kNone;
+  orders::fence_value fence_;  ///< Held, or being written.
+  /// Whether the fence must be read before the next order: after a pause.
+  bool must_verify_ = false;
+  bool reread_ = false;  ///< The read in progress started before a pause.
+  /// The engine knows a higher token than the one held.
+  bool must_raise_ = false;
+  /// Whether the fence was read for an order in this call of `Handle`.
+  bool verified_ = false;
+  time_point read_started_;
+  std::optional<orders::engine_content> desired_;
+  std::optional<orders::engine_content> state_;
+  bool state_fresh_ = false;
+  bool failed_ = false;  ///< The engine can't load `desired_`.
+  std::optional<orders::engine_content> reported_;
+  std::uint64_t order_ = 0;
+  orders::engine_content ordered_;
+  time_point order_expiry_;
+  time_point order_allowed_;
+  time_point platform_not_before_;
+  time_point engine_not_before_;
+  time_point next_check_;
+  time_point now_;
+  std::vector<action> actions_;
+};
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_ORDERS_ORDER_SEQUENCER_H_
