Add admission control and lending of limit shares

Entries have to enforce contracts that count over all entries, also while messages are lost and data centres are cut off. Static shares are safe but leave most of a contract unused when its demand arrives at few entries.

Token buckets enforce the fraction that an entry holds; a changed fraction never raises the level, so that moving rate creates no burst. The share ledger lends by numbered requests. A grant lasts 3 s from when its borrower sent the request, and the lender holds its reduction for 3.14 s from when it sent the grant, so neither delay nor clocks that differ by 1 % each way let both use the same share. Counting the grant from its arrival was ruled out: a delayed grant then outlives the reduction. Lending everything was ruled out as well: a restarted lender does not know what it lent and would have to reject all work, so a fifth of each static share is never lent and is all that an entry uses until the longest hold has ended.

--- /dev/null
+++ b/include/fireflyslip/admission.h
@@ -0,0 +1,11 @@
+#ifndef FIREFLYSLIP_ADMISSION_H_
+#define FIREFLYSLIP_ADMISSION_H_
+
+/// \brief Module admission: enforces the rates of a contract on each entry and
+/// lends unused shares of them among the entries.
+
+#include "fireflyslip/admission/admission_controller.h"
+#include "fireflyslip/admission/share_ledger.h"
+#include "fireflyslip/admission/token_bucket.h"
+
+#endif  // FIREFLYSLIP_ADMISSION_H_
