Test that a smaller share lowers the level at once

A trial without the reduction of the level in token_bucket::Configure passed all tests, because the next refill reduces it too unless it is at the same time. The new test admits in the same instant in which the share falls.

--- a/tests/admission/admission_controller_test.cc
+++ b/tests/admission/admission_controller_test.cc
@@ -48,6 +48,16 @@
   EXPECT_GE(admitted, allowed - 20);
 }
 
+// Guards against a lent share that is spent again from the level it left.
+TEST_F(admission_controller_test, ShareChanged_Smaller_LosesLevelAtOnce) {
+  controller_.Handle(controller::share_changed{limits_.workspace, 0.1}, now_);
+  int admitted = 0;
+  while (IsAdmitted(1)) {
+    ++admitted;
+  }
+  EXPECT_EQ(admitted, 2);
+}
+
 // Guards against requests that use more tokens than they were charged for.
 TEST_F(admission_controller_test, Used_MoreThanEstimated_DelaysNextRequest) {
   EXPECT_TRUE(IsAdmitted(100));
