--- /dev/null
+++ b/include/fireflyslip/routing/routing_policy.h
@@ -0,0 +1,75 @@
+#ifndef FIREFLYSLIP_ROUTING_ROUTING_POLICY_H_
+#define FIREFLYSLIP_ROUTING_ROUTING_POLICY_H_
+
+#include <concepts>
+#include <cstddef>
+#include <span>
+
+#include "fireflyslip/core/ids.h"
+#include "fireflyslip/core/random_source.h"
+
+namespace fireflyslip {
+
+/// \brief An upstream that may run a request.
+struct routing_candidate {
+  upstream_id upstream;
+  double expected_wait = 0;  ///< Seconds until the request would be done.
+
+  bool operator==(const routing_candidate&) const = default;
+};
+
+/// \brief Selects one of some candidates; at least one is given.
+template <typename Policy>
+concept routing_policy = std::default_initializable<Policy> &&
+    requires(Policy policy,
+             std::span<const routing_candidate> candidates,
+             random_source& random) {
+  { policy.Select(candidates, random) } -> std::same_as<std::size_t>;
+};
+
+/// \brief The lower expected wait of two different random candidates.
+///
+/// Reports lag, so all entries would send to the one best candidate at the
+/// same time if they compared all of them.
+class two_choices_policy {
+ public:
+  std::size_t Select(std::span<const routing_candidate> candidates,
+                     random_source& random) {
+    const std::size_t first = random.Below(candidates.size());
+    if (candidates.size() == 1) {
+      return first;
+    }
+    std::size_t second = random.Below(candidates.size() - 1);
+    second += second >= first ? 1 : 0;
+    return candidates[second].expected_wait < candidates[first].expected_wait
+               ? second
+               : first;
+  }
+};
+
+class random_policy {
+ public:
+  std::size_t Select(std::span<const routing_candidate> candidates,
+                     random_source& random) {
+    return random.Below(candidates.size());
+  }
+};
+
+class round_robin_policy {
+ public:
+  std::size_t Select(std::span<const routing_candidate> candidates,
+                     random_source& /*random*/) {
+    return next_++ % candidates.size();
+  }
+
+ private:
+  std::size_t next_ = 0;
+};
+
+static_assert(routing_policy<two_choices_policy>);
+static_assert(routing_policy<random_policy>);
+static_assert(routing_policy<round_robin_policy>);
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_ROUTING_ROUTING_POLICY_H_
