Add retry decisions and the registry of crashing requests

Entries have to repeat failed attempts without executing a call twice and without multiplying the load on a failing fleet, and one request that crashes each upstream must not take down the fleet.

The retry controller repeats only idempotent attempts or those known as not run, asks for the fate of the others, keeps further attempts to a tenth of the first ones per workspace, adds jitter, and hedges urgent idempotent work after the p95 of the latest latencies, within the same budget. The crash registry makes all requests in progress at a crash suspects; a suspect that then crashes an upstream alone is blocked. Blocking each request that was in progress at two crashes was ruled out: it blocks requests that ran beside the cause.

The tests fail without the budget, the jitter, the check of the outcome, the check of forwarded bytes, the rule for requests that ran alone, and the order in which a full registry forgets.

--- /dev/null
+++ b/include/fireflyslip/retry/crash_registry.h
@@ -0,0 +1,97 @@
+#ifndef FIREFLYSLIP_RETRY_CRASH_REGISTRY_H_
+#define FIREFLYSLIP_RETRY_CRASH_REGISTRY_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "fireflyslip/core/decision_core.h"
+#include "fireflyslip/core/time.h"
+
+namespace fireflyslip {
+
+/// \brief Hash of the content of a request, equal for its repetitions.
+using request_fingerprint = std::uint64_t;
+
+/// \brief Decision core that finds requests that crash their upstreams.
+///
+/// All requests in progress at a crash become suspects and run alone. A
+/// suspect that crashes its upstream again is blocked; one that completes is
+/// cleared.
+class crash_registry {
+ public:
+  /// \brief An upstream crashed while these requests ran on it. Requests that
+  /// only waited in the queue of its agent are not among them.
+  struct upstream_crashed {
+    std::vector<request_fingerprint> in_progress;
+
+    bool operator==(const upstream_crashed&) const = default;
+  };
+  /// \brief A peer shares its crash count; 0 clears a suspect.
+  struct notice {
+    request_fingerprint fingerprint = 0;
+    std::uint32_t count = 0;
+
+    bool operator==(const notice&) const = default;
+  };
+  struct completed {
+    request_fingerprint fingerprint = 0;
+
+    bool operator==(const completed&) const = default;
+  };
+  using event = std::variant<tick, upstream_crashed, notice, completed>;
+
+  /// \brief Send the count to the other entries of the data centre.
+  struct share_notice {
+    request_fingerprint fingerprint = 0;
+    std::uint32_t count = 0;
+
+    bool operator==(const share_notice&) const = default;
+  };
+  using action = std::variant<share_notice>;
+
+  /// \param bound highest number of fingerprints kept.
+  /// \param lifetime time after its last crash that a fingerprint is kept.
+  explicit crash_registry(std::size_t bound = 4096,
+                          duration lifetime = std::chrono::minutes(10));
+
+  std::vector<action> Handle(const event& event, time_point now);
+  std::optional<time_point> NextDeadline() const;
+
+  /// \brief Whether the request must run alone.
+  bool IsSuspect(request_fingerprint fingerprint) const;
+  /// \brief Whether the request must not run.
+  bool IsBlocked(request_fingerprint fingerprint) const;
+  std::size_t size() const { return entries_.size(); }
+
+ private:
+  struct entry {
+    std::uint32_t count = 0;
+    time_point expiry;
+  };
+
+  void Set(request_fingerprint fingerprint,
+           std::uint32_t count,
+           time_point now);
+  void Remove(request_fingerprint fingerprint);
+  std::uint32_t CountOf(request_fingerprint fingerprint) const;
+
+  std::size_t bound_;
+  duration lifetime_;
+  std::map<request_fingerprint, entry> entries_;
+  // Suspects are first, so that a full registry forgets them before blocked
+  // ones; then by expiry.
+  std::set<std::pair<time_point, request_fingerprint>> suspects_;
+  std::set<std::pair<time_point, request_fingerprint>> blocked_;
+};
+
+static_assert(decision_core<crash_registry>);
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_RETRY_CRASH_REGISTRY_H_
--- /dev/null
+++ b/include/fireflyslip/retry/retry_controller.h
@@ -0,0 +1,116 @@
+#ifndef FIREFLYSLIP_RETRY_RETRY_CONTROLLER_H_
+#define FIREFLYSLIP_RETRY_RETRY_CONTROLLER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "fireflyslip/core/decision_core.h"
+#include "fireflyslip/core/error.h"
+#include "fireflyslip/core/ids.h"
+#include "fireflyslip/core/random_source.h"
+#include "fireflyslip/core/rank.h"
+#include "fireflyslip/core/time.h"
+#include "fireflyslip/retry/retry_budget.h"
+
+namespace fireflyslip {
+
+/// \brief Decision core that decides about further attempts of requests.
+class retry_controller {
+ public:
+  /// \brief The first attempt of a request was sent.
+  struct first_attempt {
+    request_id request;
+    workspace_id workspace;
+    request_rank rank = request_rank::kStandard;
+    bool idempotent = false;
+
+    bool operator==(const first_attempt&) const = default;
+  };
+  struct attempt_failed {
+    request_id request;
+    workspace_id workspace;
+    std::uint32_t attempt = 0;  ///< Number of the attempt; the first is 0.
+    outcome known_outcome = outcome::kUnknown;
+    error_kind kind = error_kind::kUpstreamFailed;
+    bool idempotent = false;
+    std::uint64_t bytes_forwarded = 0;  ///< Sent to the caller already.
+    bool resumable = false;  ///< The stream can continue at its offset.
+    duration remaining{};    ///< Until the deadline.
+
+    bool operator==(const attempt_failed&) const = default;
+  };
+  /// \brief The first byte of an answer arrived, or the request ended.
+  struct answered {
+    request_id request;
+    std::optional<duration> latency;  ///< Of the first byte, if it arrived.
+
+    bool operator==(const answered&) const = default;
+  };
+  using event = std::variant<tick, first_attempt, attempt_failed, answered>;
+
+  /// \brief Send the next attempt after a delay.
+  struct retry_at {
+    request_id request;
+    duration delay{};
+
+    bool operator==(const retry_at&) const = default;
+  };
+  /// \brief Ask the agent what became of the attempt.
+  struct query_fate {
+    attempt_id attempt;
+
+    bool operator==(const query_fate&) const = default;
+  };
+  struct give_up {
+    request_id request;
+    error_kind kind = error_kind::kUpstreamFailed;
+
+    bool operator==(const give_up&) const = default;
+  };
+  /// \brief Send a second attempt to another upstream; use the first answer.
+  struct hedge {
+    request_id request;
+
+    bool operator==(const hedge&) const = default;
+  };
+  using action = std::variant<retry_at, query_fate, give_up, hedge>;
+
+  explicit retry_controller(random_source random) : random_(random) {}
+
+  std::vector<action> Handle(const event& event, time_point now);
+  std::optional<time_point> NextDeadline() const;
+
+  /// \brief p95 of the latest latencies; nothing until enough are known.
+  std::optional<duration> hedge_delay() const { return hedge_delay_; }
+
+ private:
+  struct hedgeable {
+    workspace_id workspace;
+    time_point since;
+  };
+
+  action Decide(const attempt_failed& event);
+  void CountLatency(duration latency);
+  retry_budget& BudgetOf(const workspace_id& workspace);
+
+  random_source random_;
+  std::map<workspace_id, retry_budget> budgets_;
+  std::map<request_id, hedgeable> waiting_;
+  std::set<std::pair<time_point, request_id>> waiting_order_;
+  std::deque<duration> latencies_;
+  std::size_t since_estimate_ = 0;
+  std::optional<duration> hedge_delay_;
+};
+
+static_assert(decision_core<retry_controller>);
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_RETRY_RETRY_CONTROLLER_H_
