Test the chunk fetcher under faults and end two starvations

A randomized test found agents that never completed: two peers that offer a chunk and never deliver it took turns, because the pause of one was over when the transfer from the other timed out. Longer pauses were ruled out: they also exclude slow but sound sources. A chunk whose transfers timed out twice is now also sought at the origin and at probed members, chosen at random, and sources with timeouts rank last for imports.

--- a/src/distribution/chunk_fetcher.cc
+++ b/src/distribution/chunk_fetcher.cc
@@ -19,6 +19,8 @@
 constexpr std::size_t kNone = std::numeric_limits<std::size_t>::max();
 constexpr std::size_t kMaxDownloadsPerPeer = 2;
 constexpr unsigned kMaxDoublings = 4;
+// Added to the rank of sources in other regions, above any other term.
+constexpr std::size_t kOtherRegion = 1U << 20U;
 // Interval in which timeouts, pauses and late chunks are looked at.
 constexpr duration kCheckInterval = milliseconds(250);
 constexpr duration kProbeInterval = milliseconds(500);
@@ -771,7 +773,7 @@
       return;
     }
     for (const std::size_t i : duties_) {
-      if (missing_.Test(i) && status_[i].duty_from <= now) {
+      if (missing_.Test(i) && status_[i].duty_from <= now && !IsDistrusted(i)) {
         Import(i, now, /*late=*/false);
       }
     }
@@ -795,13 +797,23 @@
     });
   }
 
+  // Whether transfers of the chunk timed out so often that the peers that offer
+  // it may never deliver it: several of them take turns otherwise.
+  bool IsDistrusted(std::size_t index) const {
+    return status_[index].tries >= 2;
+  }
+
   // Brings a chunk into the data centre.
   void Import(std::size_t index, time_point now, bool late) {
-    if (!HasMemory() || IsOffered(index, now)) {
+    if (!HasMemory() || (!IsDistrusted(index) && IsOffered(index, now))) {
       return;
     }
     const bool from_origin = from_origin_.Test(index);
-    if (!from_origin || origin_failures_ > 0) {
+    // A late chunk is sought at the origin and at peers in turn, because either
+    // may offer it without delivering it.
+    const bool peers_first =
+        late ? random_.Below(2) == 0 : !from_origin || origin_failures_ > 0;
+    if (peers_first) {
       ImportFromPeer(index, now, late);
       if (!missing_.Test(index)) {
         return;
@@ -831,7 +843,8 @@
           !peer.have.Test(index) || (!peer.same_region && !may_cross)) {
         continue;
       }
-      const std::size_t rank = (peer.same_region ? 0 : 1000) + peer.transfers;
+      const std::size_t rank = (peer.same_region ? 0 : kOtherRegion) +
+                               peer.transfers + peer.timeouts;
       if (rank < best_rank) {
         best_rank = rank;
         best = &vm;
@@ -840,7 +853,7 @@
     if (best == nullptr) {
       return;
     }
-    if (best_rank >= 1000 && !TakeRegionBudget(index, now)) {
+    if (best_rank >= kOtherRegion && !TakeRegionBudget(index, now)) {
       return;
     }
     status_[index].imported = true;
@@ -872,11 +885,17 @@
     for (std::size_t i = 0; i < chunks_.size(); ++i) {
       const duration late_by = now - LateBase(i);
       if (!missing_.Test(i) || late_by < limits_.takeover_timeout ||
-          IsOffered(i, now)) {
+          (IsOffered(i, now) && (!IsDistrusted(i) || random_.Below(2) == 0))) {
         continue;
       }
-      if (late_by >=
-          limits_.takeover_timeout * static_cast<int>(2 + OwnPosition(i))) {
+      // A source that offers the chunk but never delivers it must not be the
+      // only one tried, so some tries go to a probed member.
+      if (random_.Below(3) == 0 && next_probe_ <= now) {
+        Probe(i, now);
+      }
+      if (missing_.Test(i) &&
+          late_by >=
+              limits_.takeover_timeout * static_cast<int>(2 + OwnPosition(i))) {
         Import(i, now, /*late=*/true);
       }
       if (missing_.Test(i) && next_probe_ <= now) {
@@ -885,6 +904,7 @@
     }
   }
 
+  // Asks one member for a chunk without knowing whether it has it.
   void Probe(std::size_t index, time_point now) {
     if (!HasMemory() || peer_transfers_ >= limits_.max_peer_downloads) {
       return;
