Add rollout controller

Agents must load a declared version without an order from the platform, keep serving_share in service, and stop a bad version after one replica. A lock or a count held by one agent was ruled out: it fails with its owner. All agents compute one rendezvous order; a replica loads only while it is among the first replicas that have not reported the version, so late reports delay the rollout and do not exceed the allowed number. Before a load every visible peer must have acknowledged the declaration, because it may still act on the superseded one. Peers without a report for 15 s are left out.

--- /dev/null
+++ b/include/fireflyslip/rollout/rollout_controller.h
@@ -0,0 +1,225 @@
+#ifndef FIREFLYSLIP_ROLLOUT_ROLLOUT_CONTROLLER_H_
+#define FIREFLYSLIP_ROLLOUT_ROLLOUT_CONTROLLER_H_
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "fireflyslip/core/decision_core.h"
+#include "fireflyslip/core/ids.h"
+#include "fireflyslip/core/time.h"
+
+namespace fireflyslip {
+
+enum class replica_state {
+  kLoading,
+  kServing,
+  kFailed,   ///< Could not load the version, or crashed soon after the load.
+  kStopped,  ///< The engine crashed for another reason.
+};
+
+/// \brief The declaration in a configuration revision. A revision that is not
+/// higher than the last one is ignored; each higher one is passed on, also if
+/// the version did not change, so that peers agree on revisions.
+struct rollout_declared {
+  std::uint64_t revision = 0;
+  model_name model;
+  model_version version;
+  double serving_share = 0;  ///< In [0, 1].
+  /// Declared replicas of the model in this data centre.
+  std::vector<vm_id> replicas;
+
+  bool operator==(const rollout_declared&) const = default;
+};
+
+/// \brief State of a replica, as its agent reports it.
+struct replica_report {
+  vm_id vm;
+  std::uint64_t revision = 0;  ///< Configuration revision it knows.
+  model_version version;       ///< Version it serves, loads or failed on.
+  replica_state state = replica_state::kServing;
+  /// The version served for the settling period without a crash.
+  bool settled = false;
+  /// The replica knows that the declared version failed in the data centre.
+  bool stopped = false;
+
+  bool operator==(const replica_report&) const = default;
+};
+
+/// \brief A peer's report was received.
+struct peer_version {
+  replica_report report;
+
+  bool operator==(const peer_version&) const = default;
+};
+
+/// \brief All chunks of a version are staged in the own engine.
+struct chunks_complete {
+  model_version version;
+
+  auto operator<=>(const chunks_complete&) const = default;
+};
+
+/// \brief The own engine serves a version.
+struct own_serving {
+  model_version version;
+
+  auto operator<=>(const own_serving&) const = default;
+};
+
+/// \brief The own engine could not load a version.
+struct own_failed {
+  model_version version;
+  std::string reason;
+
+  auto operator<=>(const own_failed&) const = default;
+};
+
+/// \brief The own engine crashed while it served or loaded a version.
+struct engine_crashed {
+  model_version version;
+
+  auto operator<=>(const engine_crashed&) const = default;
+};
+
+/// \brief The complete list of live VMs.
+struct rollout_members_changed {
+  std::vector<vm_id> live;
+
+  bool operator==(const rollout_members_changed&) const = default;
+};
+
+/// \brief Stop new model work on the own engine before the load.
+struct start_drain {
+  model_version version;
+
+  auto operator<=>(const start_drain&) const = default;
+};
+
+/// \brief Order the own engine to load a version; follows `start_drain`.
+struct load_version {
+  model_version version;
+
+  auto operator<=>(const load_version&) const = default;
+};
+
+enum class stay_reason {
+  kChunksMissing,   ///< The weights are not staged yet.
+  kEarlierReplica,  ///< Replicas earlier in the order come first.
+  kServingShare,    ///< Too few replicas would serve.
+  kVersionFailed,   ///< The version failed in this data centre.
+};
+
+/// \brief The own replica keeps its version; sent when the reason changes.
+struct stay {
+  stay_reason reason = stay_reason::kChunksMissing;
+
+  auto operator<=>(const stay&) const = default;
+};
+
+/// \brief Send the own report to all peers of model and data centre. Repeated
+/// while the rollout is in progress, in case one was lost.
+struct send_report {
+  replica_report report;
+
+  bool operator==(const send_report&) const = default;
+};
+
+/// \brief Settings of a `rollout_controller`.
+struct rollout_settings {
+  vm_id self;
+  /// A replica serves a new version that long before others follow.
+  duration settling_period = seconds(10);
+  /// A crash within this time after the load counts against the version.
+  duration trial_period = seconds(60);
+  duration report_interval = seconds(2);
+  /// A live peer without a report for this time is left out of the order and
+  /// of the serving share, so that a lost link does not end the rollout.
+  duration unknown_timeout = seconds(15);
+};
+
+/// \brief Decides when an agent's engine loads a declared version.
+///
+/// All agents compute the same order, the rendezvous order of the declared
+/// replicas. The first live replica is the trial: the others wait until it has
+/// settled. Then as many at a time as `serving_share` allows load, in order:
+/// those that load are always among the first ones that have not loaded, so
+/// late reports delay the rollout and never exceed the allowed number. A
+/// version that fails stops the rollout until another version is declared.
+class rollout_controller {
+ public:
+  using event = std::variant<rollout_declared,
+                             peer_version,
+                             chunks_complete,
+                             own_serving,
+                             own_failed,
+                             engine_crashed,
+                             rollout_members_changed,
+                             tick>;
+  using action = std::variant<start_drain, load_version, stay, send_report>;
+
+  explicit rollout_controller(rollout_settings settings);
+
+  std::vector<action> Handle(const event& event, time_point now);
+  std::optional<time_point> NextDeadline() const;
+
+  /// \brief Whether the declared version is known to have failed here.
+  bool IsStopped() const { return stopped_; }
+
+  /// \brief Replicas that may be out of service at once.
+  static std::size_t AllowedOut(std::size_t live, double serving_share);
+
+ private:
+  void On(const rollout_declared& e, time_point now);
+  void On(const peer_version& e, time_point now);
+  void On(const chunks_complete& e, time_point now);
+  void On(const own_serving& e, time_point now);
+  void On(const own_failed& e, time_point now);
+  void On(const engine_crashed& e, time_point now);
+  void On(const rollout_members_changed& e, time_point now);
+  void On(const tick& e, time_point now);
+
+  void NoteFailure(const replica_report& report);
+  void Decide(time_point now);
+  std::optional<stay_reason> ReasonToStay(time_point now) const;
+  bool HasUnsettledPeer(time_point now) const;
+  bool IsUnknown(const vm_id& vm, time_point now) const;
+  bool HasLoaded(const replica_report& report) const;
+  bool IsInProgress(time_point now) const;
+  bool IsSettled(time_point now) const;
+  void Fail(const model_version& version, bool blame);
+  void Report(time_point now);
+  replica_report OwnReport(time_point now) const;
+
+  rollout_settings settings_;
+  std::vector<action> actions_;
+  std::optional<rollout_declared> declared_;
+  std::vector<vm_id> order_;
+  std::set<vm_id> live_;
+  struct peer_state {
+    replica_report report;
+    time_point heard;
+  };
+  std::map<vm_id, peer_state> peers_;
+  std::uint64_t epoch_ = 0;  // Revision at which the version changed.
+  time_point declared_at_;
+  std::set<model_version> staged_;
+  bool stopped_ = false;
+
+  replica_state state_ = replica_state::kServing;
+  model_version version_;  // Served, being loaded or failed.
+  time_point serving_since_;
+  std::optional<stay_reason> last_reason_;
+  std::optional<replica_report> last_report_;
+  std::optional<time_point> next_report_;
+};
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_ROLLOUT_ROLLOUT_CONTROLLER_H_
--- /dev/null
+++ b/src/rollout/rollout_controller.cc
@@ -0,0 +1,285 @@
+#include "fireflyslip/rollout/rollout_controller.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "fireflyslip/core/rendezvous.h"
+
+namespace fireflyslip {
+
+rollout_controller::rollout_controller(rollout_settings settings)
+    : settings_(std::move(settings)) {}
+
+std::size_t rollout_controller::AllowedOut(std::size_t live,
+                                           double serving_share) {
+  // The margin keeps (1 - 0.75) * 4 from being rounded to 0.
+  constexpr double kMargin = 1e-9;
+  const double allowed =
+      std::floor(((1 - serving_share) * static_cast<double>(live)) + kMargin);
+  return std::max<std::size_t>(
+      1, static_cast<std::size_t>(std::max(0.0, allowed)));
+}
+
+std::vector<rollout_controller::action> rollout_controller::Handle(
+    const event& event,
+    time_point now) {
+  actions_.clear();
+  std::visit([&](const auto& e) { On(e, now); }, event);
+  if (declared_) {
+    Decide(now);
+    Report(now);
+  }
+  return std::move(actions_);
+}
+
+std::optional<time_point> rollout_controller::NextDeadline() const {
+  std::optional<time_point> next = next_report_;
+  if (declared_ && last_report_ && state_ == replica_state::kServing &&
+      !last_report_->settled) {
+    const time_point settled = serving_since_ + settings_.settling_period;
+    next = next ? std::min(*next, settled) : settled;
+  }
+  return next;
+}
+
+void rollout_controller::On(const rollout_declared& e, time_point now) {
+  if (declared_ && e.revision <= declared_->revision) {
+    return;
+  }
+  if (!declared_ || e.version != declared_->version) {
+    epoch_ = e.revision;
+    declared_at_ = now;
+    stopped_ = state_ == replica_state::kFailed && version_ == e.version;
+    last_reason_.reset();
+  }
+  declared_ = e;
+  // All replicas of the list are in one data centre, so the model alone is the
+  // key: the lists of other data centres have other names.
+  order_ = RendezvousOrder(e.model.value(), e.replicas);
+  for (const auto& [vm, peer] : peers_) {
+    NoteFailure(peer.report);
+  }
+}
+
+void rollout_controller::NoteFailure(const replica_report& report) {
+  if (report.revision < epoch_) {
+    return;
+  }
+  const bool failed = report.state == replica_state::kFailed &&
+                      report.version == declared_->version;
+  if (failed || (report.stopped && report.revision == declared_->revision)) {
+    stopped_ = true;
+  }
+}
+
+void rollout_controller::On(const peer_version& e, time_point now) {
+  if (e.report.vm == settings_.self) {
+    return;
+  }
+  peer_state& peer = peers_[e.report.vm];
+  if (e.report.revision < peer.report.revision) {
+    return;  // Late message.
+  }
+  peer = {e.report, now};
+  if (declared_) {
+    NoteFailure(e.report);
+  }
+}
+
+void rollout_controller::On(const chunks_complete& e, time_point /*now*/) {
+  staged_.insert(e.version);
+}
+
+void rollout_controller::On(const own_serving& e, time_point now) {
+  if (state_ != replica_state::kServing || version_ != e.version) {
+    serving_since_ = now;
+  }
+  state_ = replica_state::kServing;
+  version_ = e.version;
+}
+
+void rollout_controller::On(const own_failed& e, time_point /*now*/) {
+  Fail(e.version, /*blame=*/true);
+}
+
+void rollout_controller::On(const engine_crashed& e, time_point now) {
+  const bool blame = state_ == replica_state::kLoading ||
+                     now - serving_since_ < settings_.trial_period;
+  staged_.clear();  // The engine's staging memory is lost.
+  Fail(e.version, blame);
+}
+
+void rollout_controller::On(const rollout_members_changed& e,
+                            time_point /*now*/) {
+  live_ = std::set<vm_id>(e.live.begin(), e.live.end());
+  live_.insert(settings_.self);
+  std::erase_if(peers_, [this](const auto& entry) {
+    return !live_.contains(entry.first);
+  });
+}
+
+void rollout_controller::On(const tick& /*e*/, time_point /*now*/) {}
+
+void rollout_controller::Fail(const model_version& version, bool blame) {
+  // A crash of a version that was there before the declaration, or long after
+  // its load, does not count against the version.
+  state_ = blame ? replica_state::kFailed : replica_state::kStopped;
+  version_ = version;
+  if (blame && declared_ && version == declared_->version) {
+    stopped_ = true;
+  }
+}
+
+bool rollout_controller::IsUnknown(const vm_id& vm, time_point now) const {
+  const auto it = peers_.find(vm);
+  const time_point heard = it == peers_.end()
+                               ? declared_at_
+                               : std::max(it->second.heard, declared_at_);
+  return now - heard >= settings_.unknown_timeout;
+}
+
+bool rollout_controller::HasLoaded(const replica_report& report) const {
+  return report.revision >= epoch_ && report.version == declared_->version &&
+         report.state == replica_state::kServing;
+}
+
+bool rollout_controller::IsSettled(time_point now) const {
+  return state_ == replica_state::kServing && !version_.empty() &&
+         now - serving_since_ >= settings_.settling_period;
+}
+
+void rollout_controller::Decide(time_point now) {
+  const bool declared_here =
+      std::find(order_.begin(), order_.end(), settings_.self) != order_.end();
+  if (live_.empty() || !declared_here || state_ == replica_state::kLoading ||
+      (state_ == replica_state::kServing && version_ == declared_->version)) {
+    return;
+  }
+  const std::optional<stay_reason> reason = ReasonToStay(now);
+  if (reason) {
+    if (reason != last_reason_) {
+      actions_.emplace_back(stay{*reason});
+    }
+    last_reason_ = reason;
+    return;
+  }
+  last_reason_.reset();
+  state_ = replica_state::kLoading;
+  version_ = declared_->version;
+  actions_.emplace_back(start_drain{version_});
+  actions_.emplace_back(load_version{version_});
+}
+
+std::optional<stay_reason> rollout_controller::ReasonToStay(
+    time_point now) const {
+  if (stopped_) {
+    return stay_reason::kVersionFailed;
+  }
+  if (!staged_.contains(declared_->version)) {
+    return stay_reason::kChunksMissing;
+  }
+  const bool acknowledge_over = now - declared_at_ >= settings_.unknown_timeout;
+  std::size_t visible = 1;
+  std::size_t earlier = 0;  // Before this replica, without the version.
+  std::size_t out = 0;      // After this replica, not serving.
+  bool settled = false;
+  bool acknowledged = true;
+  bool passed_self = false;
+  for (const vm_id& vm : order_) {
+    if (vm == settings_.self) {
+      passed_self = true;
+      continue;
+    }
+    if (!live_.contains(vm) || IsUnknown(vm, now)) {
+      continue;
+    }
+    ++visible;
+    const auto it = peers_.find(vm);
+    if (it == peers_.end() || it->second.report.revision < epoch_) {
+      // The peer may still start a load for the superseded declaration.
+      acknowledged = acknowledged && acknowledge_over;
+      out += it != peers_.end() &&
+                     it->second.report.state != replica_state::kServing
+                 ? 1
+                 : 0;
+      continue;
+    }
+    const replica_report& report = it->second.report;
+    if (HasLoaded(report)) {
+      settled = settled || report.settled;
+    } else if (!passed_self) {
+      ++earlier;
+    } else if (report.state != replica_state::kServing) {
+      ++out;
+    }
+  }
+  if (!acknowledged) {
+    return stay_reason::kEarlierReplica;
+  }
+  // The trial replica is alone until it has settled.
+  const bool first_trial = earlier == 0 && !settled;
+  if (!settled && !first_trial) {
+    return stay_reason::kEarlierReplica;
+  }
+  if (first_trial && HasUnsettledPeer(now)) {
+    return stay_reason::kEarlierReplica;
+  }
+  // A replica that does not serve takes no further capacity away by loading.
+  if (state_ != replica_state::kServing) {
+    return std::nullopt;
+  }
+  const std::size_t allowed = AllowedOut(visible, declared_->serving_share);
+  if (earlier >= allowed) {
+    return stay_reason::kEarlierReplica;
+  }
+  if (earlier + out >= allowed) {
+    return stay_reason::kServingShare;
+  }
+  return std::nullopt;
+}
+
+// Whether a peer has loaded the version, or is loading it, and has not settled.
+bool rollout_controller::HasUnsettledPeer(time_point now) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    const replica_report& report = entry.second.report;
+    return live_.contains(entry.first) && !IsUnknown(entry.first, now) &&
+           report.revision >= epoch_ && report.version == declared_->version &&
+           report.state != replica_state::kFailed && !report.settled;
+  });
+}
+
+replica_report rollout_controller::OwnReport(time_point now) const {
+  return {settings_.self, declared_->revision, version_,
+          state_,         IsSettled(now),      stopped_};
+}
+
+bool rollout_controller::IsInProgress(time_point now) const {
+  if (!IsSettled(now) || version_ != declared_->version) {
+    return true;
+  }
+  return std::any_of(order_.begin(), order_.end(), [this](const vm_id& vm) {
+    if (vm == settings_.self || !live_.contains(vm)) {
+      return false;
+    }
+    const auto it = peers_.find(vm);
+    return it == peers_.end() || !HasLoaded(it->second.report) ||
+           !it->second.report.settled;
+  });
+}
+
+void rollout_controller::Report(time_point now) {
+  const replica_report report = OwnReport(now);
+  if (report != last_report_ || (next_report_ && now >= *next_report_)) {
+    last_report_ = report;
+    actions_.emplace_back(send_report{report});
+    next_report_.reset();
+  }
+  if (!IsInProgress(now)) {
+    next_report_.reset();
+  } else if (!next_report_) {
+    next_report_ = now + settings_.report_interval;
+  }
+}
+
+}  // namespace fireflyslip
