--- a/bench/distribution_bench.cc
+++ b/bench/distribution_bench.cc
@@ -558,12 +558,19 @@
 
 int RunAll(int argc, char** argv) {
   std::map<std::string, std::string, std::less<>> options = {
-      {"--n", ""},         {"--dcs", ""},
-      {"--regions", ""},   {"--seed", "1"},
-      {"--corrupt", "0"},  {"--peers-dying", "0"},
-      {"--chunks", "256"}, {"--policy", "rarest_first"},
-      {"--downloads", ""}, {"--uploads", ""},
-      {"--window", ""},    {"--neighbours", ""}};
+      {"--n", ""},
+      {"--dcs", ""},
+      {"--regions", ""},
+      {"--seed", "1"},
+      {"--corrupt", "0"},
+      {"--peers-dying", "0"},
+      {"--chunks", "256"},
+      {"--policy", "rarest_first"},
+      {"--downloads", ""},
+      {"--uploads", ""},
+      {"--window", ""},
+      {"--neighbours", ""},
+      {"--origin-copies", ""}};
   for (int i = 1; i < argc; i += 2) {
     const auto it = options.find(std::string_view(argv[i]));
     if (it == options.end() || i + 1 >= argc) {
@@ -600,6 +607,8 @@
       limits.max_uploads = number("--uploads", limits.max_uploads);
       limits.origin_window = number("--window", limits.origin_window);
       limits.neighbours = number("--neighbours", limits.neighbours);
+      limits.max_origin_copies =
+          number("--origin-copies", limits.max_origin_copies);
       simulation(one).Run();
     }
   }
--- a/include/fireflyslip/distribution/transfer_limits.h
+++ b/include/fireflyslip/distribution/transfer_limits.h
@@ -11,11 +11,11 @@
 /// \brief Bounds and delays of chunk transfers on one agent.
 struct transfer_limits {
   /// Downloads from peers at a time.
-  std::size_t max_peer_downloads = 4;
+  std::size_t max_peer_downloads = 6;
   /// Downloads from the origin at a time.
   std::size_t max_origin_downloads = 4;
   /// Uploads at a time; the daemon answers 503 to further ones.
-  std::size_t max_uploads = 5;
+  std::size_t max_uploads = 6;
   /// Chunks in flight or received but not yet staged by the engine.
   std::size_t max_chunks_in_memory = 16;
   /// Neighbours in the data centre, an even number.
