--- a/include/fireflyslip/distribution/transfer_limits.h
+++ b/include/fireflyslip/distribution/transfer_limits.h
@@ -11,11 +11,11 @@
 /// \brief Bounds and delays of chunk transfers on one agent.
 struct transfer_limits {
   /// Downloads from peers at a time.
-  std::size_t max_peer_downloads = 4;
+  std::size_t max_peer_downloads = 6;
   /// Downloads from the origin at a time.
   std::size_t max_origin_downloads = 4;
   /// Uploads at a time; the daemon answers 503 to further ones.
-  std::size_t max_uploads = 5;
+  std::size_t max_uploads = 6;
   /// Chunks in flight or received but not yet staged by the engine.
   std::size_t max_chunks_in_memory = 16;
   /// Neighbours in the data centre, an even number.
@@ -45,8 +45,11 @@
   duration refused_backoff = milliseconds(100);
   /// Pause after a timeout of a source, doubled up to 16 times.
   duration timeout_backoff = seconds(2);
-  /// Pause after corrupt bytes of a source, doubled up to 16 times. Bounded,
-  /// because the source may be the only one left.
+  /// Pause after the first corrupt bytes of a source, short because the link
+  /// may have damaged them.
+  duration first_corrupt_backoff = seconds(2);
+  /// Pause after further corrupt bytes of a source, doubled up to 16 times.
+  /// Bounded, because the source may be the only one left.
   duration corrupt_backoff = seconds(30);
   /// A received chunk that the engine did not stage by then is fetched again.
   duration staging_timeout = seconds(30);
--- a/src/distribution/chunk_fetcher.cc
+++ b/src/distribution/chunk_fetcher.cc
@@ -19,6 +19,10 @@
 constexpr std::size_t kNone = std::numeric_limits<std::size_t>::max();
 constexpr std::size_t kMaxDownloadsPerPeer = 2;
 constexpr unsigned kMaxDoublings = 4;
+// Good chunks in a row after which corrupt ones of a peer are forgotten.
+constexpr unsigned kRestoringStreak = 8;
+// Added to the rank of sources in other regions, above any other term.
+constexpr std::size_t kOtherRegion = 1U << 20U;
 // Interval in which timeouts, pauses and late chunks are looked at.
 constexpr duration kCheckInterval = milliseconds(250);
 constexpr duration kProbeInterval = milliseconds(500);
@@ -74,6 +78,7 @@
   time_point avoid_until;
   unsigned timeouts = 0;
   unsigned corruptions = 0;
+  unsigned streak = 0;  // Good chunks since the last corrupt one.
 };
 
 duration Doubled(duration base, unsigned times) {
@@ -324,7 +329,11 @@
         ++received_;
         last_progress_ = now;
         if (e.source.peer) {
-          peers_[*e.source.peer].timeouts = 0;
+          peer_state& peer = peers_[*e.source.peer];
+          peer.timeouts = 0;
+          if (++peer.streak >= kRestoringStreak) {
+            peer.corruptions = 0;
+          }
         } else {
           origin_failures_ = 0;
         }
@@ -332,8 +341,8 @@
       case chunk_check::kCorrupt:
         if (e.source.peer) {
           peer_state& peer = peers_[*e.source.peer];
-          Avoid(peer,
-                now + Doubled(limits_.corrupt_backoff, peer.corruptions++));
+          Avoid(peer, now + CorruptPause(peer.corruptions++));
+          peer.streak = 0;
         } else {
           AvoidOrigin(limits_.timeout_backoff, now);
         }
@@ -704,6 +713,11 @@
     }
   }
 
+  duration CorruptPause(unsigned earlier) const {
+    return earlier == 0 ? limits_.first_corrupt_backoff
+                        : Doubled(limits_.corrupt_backoff, earlier - 1);
+  }
+
   static void Avoid(peer_state& peer, time_point until) {
     peer.avoid_until = std::max(peer.avoid_until, until);
   }
@@ -741,8 +755,12 @@
         chunk.phase = chunk_phase::kMissing;
         missing_.Set(i);
       }
-      if (!chunk.late_since && chunk.position != kNone && !seen_.Test(i) &&
-          chunk.position + margin < highest_seen_) {
+      // At the end of the sequence the progress of other chunks must not hold
+      // back a chunk whose only holder sends corrupt bytes.
+      const bool passed =
+          !seen_.Test(i) && chunk.position + margin < highest_seen_;
+      const bool ended = highest_seen_ == origin_sequence_.size();
+      if (!chunk.late_since && chunk.position != kNone && (passed || ended)) {
         chunk.late_since = now;
       }
     }
@@ -761,9 +779,11 @@
     return InFlight() + received_ < limits_.max_chunks_in_memory;
   }
 
+  // One transfer at a time shows whether a source still sends corrupt bytes.
   static bool IsUsable(const peer_state& peer, time_point now) {
+    const std::size_t most = peer.corruptions > 0 ? 1 : kMaxDownloadsPerPeer;
     return peer.have.size() != 0 && peer.avoid_until <= now &&
-           peer.transfers < kMaxDownloadsPerPeer;
+           peer.transfers < most;
   }
 
   void Schedule(time_point now, const chunk_selector& selector) {
@@ -771,7 +791,7 @@
       return;
     }
     for (const std::size_t i : duties_) {
-      if (missing_.Test(i) && status_[i].duty_from <= now) {
+      if (missing_.Test(i) && status_[i].duty_from <= now && !IsDistrusted(i)) {
         Import(i, now, /*late=*/false);
       }
     }
@@ -795,13 +815,23 @@
     });
   }
 
+  // Whether transfers of the chunk timed out so often that the peers that offer
+  // it may never deliver it: several of them take turns otherwise.
+  bool IsDistrusted(std::size_t index) const {
+    return status_[index].tries >= 2;
+  }
+
   // Brings a chunk into the data centre.
   void Import(std::size_t index, time_point now, bool late) {
-    if (!HasMemory() || IsOffered(index, now)) {
+    if (!HasMemory() || (!IsDistrusted(index) && IsOffered(index, now))) {
       return;
     }
     const bool from_origin = from_origin_.Test(index);
-    if (!from_origin || origin_failures_ > 0) {
+    // A late chunk is sought at the origin and at peers in turn, because either
+    // may offer it without delivering it.
+    const bool peers_first =
+        late ? random_.Below(2) == 0 : !from_origin || origin_failures_ > 0;
+    if (peers_first) {
       ImportFromPeer(index, now, late);
       if (!missing_.Test(index)) {
         return;
@@ -831,7 +861,8 @@
           !peer.have.Test(index) || (!peer.same_region && !may_cross)) {
         continue;
       }
-      const std::size_t rank = (peer.same_region ? 0 : 1000) + peer.transfers;
+      const std::size_t rank = (peer.same_region ? 0 : kOtherRegion) +
+                               peer.transfers + peer.timeouts;
       if (rank < best_rank) {
         best_rank = rank;
         best = &vm;
@@ -840,7 +871,7 @@
     if (best == nullptr) {
       return;
     }
-    if (best_rank >= 1000 && !TakeRegionBudget(index, now)) {
+    if (best_rank >= kOtherRegion && !TakeRegionBudget(index, now)) {
       return;
     }
     status_[index].imported = true;
@@ -872,11 +903,17 @@
     for (std::size_t i = 0; i < chunks_.size(); ++i) {
       const duration late_by = now - LateBase(i);
       if (!missing_.Test(i) || late_by < limits_.takeover_timeout ||
-          IsOffered(i, now)) {
+          (IsOffered(i, now) && (!IsDistrusted(i) || random_.Below(2) == 0))) {
         continue;
       }
-      if (late_by >=
-          limits_.takeover_timeout * static_cast<int>(2 + OwnPosition(i))) {
+      // A source that offers the chunk but never delivers it must not be the
+      // only one tried, so some tries go to a probed member.
+      if (random_.Below(3) == 0 && next_probe_ <= now) {
+        Probe(i, now);
+      }
+      if (missing_.Test(i) &&
+          late_by >=
+              limits_.takeover_timeout * static_cast<int>(2 + OwnPosition(i))) {
         Import(i, now, /*late=*/true);
       }
       if (missing_.Test(i) && next_probe_ <= now) {
@@ -885,6 +922,7 @@
     }
   }
 
+  // Asks one member for a chunk without knowing whether it has it.
   void Probe(std::size_t index, time_point now) {
     if (!HasMemory() || peer_transfers_ >= limits_.max_peer_downloads) {
       return;
