Assign claim journals to hash slots instead of keys to replicas

Ruled out: reading the journals of all replicas before each claim, because old replicas are not known after a change. The link messages get the fields that the cores need: body digest, request numbers, replica reports, crash fingerprints.

--- a/include/fireflyslip/booking/home_upstream.h
+++ b/include/fireflyslip/booking/home_upstream.h
@@ -1,6 +1,7 @@
 #ifndef FIREFLYSLIP_BOOKING_HOME_UPSTREAM_H_
 #define FIREFLYSLIP_BOOKING_HOME_UPSTREAM_H_
 
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -15,13 +16,25 @@
 idempotency_key ScopedKey(const workspace_id& workspace,
                           const idempotency_key& key);
 
-/// \brief The one upstream that may run the call with this key.
+/// \brief Number of a claim journal of a service, below `kJournalSlots`.
+using journal_slot = std::uint32_t;
+
+/// Journals of each service. The number never changes, so that a key keeps its
+/// journal when replicas are added or removed.
+inline constexpr journal_slot kJournalSlots = 16;
+
+/// \brief Journal that holds the claims of a key.
+journal_slot JournalSlot(const idempotency_key& key);
+
+/// \brief The one upstream that owns a journal and runs the calls of its keys.
 ///
 /// The replicas are those that the configuration declares, not the live ones:
 /// a choice among live replicas could run a retried call on a second replica.
+/// When the declared replicas change, the new owner takes over the journal
+/// object, which fences the old owner and shows which calls may have run.
 /// Returns nothing when no replica is declared.
 std::optional<upstream_id> HomeUpstream(
-    const idempotency_key& key,
+    journal_slot slot,
     const service_name& service,
     const std::vector<upstream_id>& declared_replicas);
 
--- a/include/fireflyslip/link/messages.h
+++ b/include/fireflyslip/link/messages.h
@@ -51,7 +51,8 @@
   std::uint64_t estimated_tokens = 0;
   std::uint64_t resume_offset = 0;  ///< Parts that the entry already has.
   model_version resume_version;
-  bool suspect = false;  ///< Seen in progress when an upstream crashed.
+  bool suspect = false;     ///< Seen in progress when an upstream crashed.
+  std::string fingerprint;  ///< Same for equal requests, also when repeated.
 
   auto operator<=>(const attempt_message&) const = default;
 };
@@ -132,6 +133,7 @@
 struct configuration_message {
   std::uint64_t revision = 0;
   std::string body;
+  std::string body_digest;  ///< SHA-256 of the body, hexadecimal.
 
   auto operator<=>(const configuration_message&) const = default;
 };
@@ -158,6 +160,7 @@
 };
 
 struct share_request_message {
+  std::uint64_t number = 0;  ///< Unique for the sender; the grant repeats it.
   workspace_id workspace;
   double amount = 0;  ///< Fraction of the contract's rate.
 
@@ -165,7 +168,7 @@
 };
 
 struct share_grant_message {
-  std::uint64_t grant = 0;  ///< Number of the grant, unique for the lender.
+  std::uint64_t number = 0;  ///< Number of the request that it answers.
   workspace_id workspace;
   double amount = 0;
   std::uint64_t expiry_ms = 0;  ///< Time left when the message was sent.
@@ -181,13 +184,23 @@
   auto operator<=>(const chunk_have_message&) const = default;
 };
 
-/// \brief Version that the sender's engine serves, for the rollout order.
-struct version_report_message {
+/// \brief Rollout state of the sender's replica.
+struct replica_report_message {
   model_name model;
+  std::uint64_t revision = 0;  ///< Configuration revision that it knows.
   model_version version;
-  std::string state;  ///< `loading`, `serving` or `failed`.
+  std::string state;  ///< `loading`, `serving`, `failed` or `stopped`.
+  bool settled = false;
+  bool stopped = false;
 
-  auto operator<=>(const version_report_message&) const = default;
+  auto operator<=>(const replica_report_message&) const = default;
+};
+
+/// \brief The sender's upstream crashed while it ran these requests.
+struct upstream_crashed_message {
+  std::vector<std::string> fingerprints;
+
+  auto operator<=>(const upstream_crashed_message&) const = default;
 };
 
 using link_message = std::variant<hello_message,
@@ -208,7 +221,8 @@
                                   share_request_message,
                                   share_grant_message,
                                   chunk_have_message,
-                                  version_report_message>;
+                                  replica_report_message,
+                                  upstream_crashed_message>;
 
 }  // namespace fireflyslip
 
--- a/src/booking/home_upstream.cc
+++ b/src/booking/home_upstream.cc
@@ -1,5 +1,7 @@
 #include "fireflyslip/booking/home_upstream.h"
 
+#include <string>
+
 #include "fireflyslip/core/rendezvous.h"
 
 namespace fireflyslip {
@@ -9,14 +11,21 @@
   return idempotency_key(workspace.value() + "/" + key.value());
 }
 
+journal_slot JournalSlot(const idempotency_key& key) {
+  constexpr char kNode[] = "journal";
+  return static_cast<journal_slot>(RendezvousScore(key.value(), kNode) %
+                                   kJournalSlots);
+}
+
 std::optional<upstream_id> HomeUpstream(
-    const idempotency_key& key,
+    journal_slot slot,
     const service_name& service,
     const std::vector<upstream_id>& declared_replicas) {
   if (declared_replicas.empty()) {
     return std::nullopt;
   }
-  return RendezvousOrder(service.value() + "/" + key.value(), declared_replicas)
+  return RendezvousOrder(service.value() + "/" + std::to_string(slot),
+                         declared_replicas)
       .front();
 }
 
--- a/src/link/codec.cc
+++ b/src/link/codec.cc
@@ -1,5 +1,6 @@
 #include "fireflyslip/link/codec.h"
 
+#include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -82,6 +83,17 @@
     }
   }
 
+  void operator()(const char* name, std::vector<std::string>& value) {
+    const json* field = Find(name);
+    const auto is_text = [](const json& entry) { return entry.is_string(); };
+    if (field == nullptr || !field->is_array() ||
+        !std::all_of(field->begin(), field->end(), is_text)) {
+      Fail(name);
+      return;
+    }
+    value = field->get<std::vector<std::string>>();
+  }
+
   void operator()(const char* name, attempt_id& value) {
     const json* field = Find(name);
     if (field == nullptr || !field->is_array() || field->size() != 4 ||
--- a/src/link/message_fields.h
+++ b/src/link/message_fields.h
@@ -36,7 +36,8 @@
 FIREFLYSLIP_MESSAGE_NAME(share_request);
 FIREFLYSLIP_MESSAGE_NAME(share_grant);
 FIREFLYSLIP_MESSAGE_NAME(chunk_have);
-FIREFLYSLIP_MESSAGE_NAME(version_report);
+FIREFLYSLIP_MESSAGE_NAME(replica_report);
+FIREFLYSLIP_MESSAGE_NAME(upstream_crashed);
 #undef FIREFLYSLIP_MESSAGE_NAME
 
 template <typename T, typename U>
@@ -79,6 +80,7 @@
   visit("resume_offset", m.resume_offset);
   visit("resume_version", m.resume_version);
   visit("suspect", m.suspect);
+  visit("fingerprint", m.fingerprint);
 }
 
 template <typename Message, typename Visitor>
@@ -156,13 +158,14 @@
 
 template <same_message<share_request_message> Message, typename Visitor>
 void VisitFields(Message& m, Visitor&& visit) {
+  visit("number", m.number);
   visit("workspace", m.workspace);
   visit("amount", m.amount);
 }
 
 template <same_message<share_grant_message> Message, typename Visitor>
 void VisitFields(Message& m, Visitor&& visit) {
-  visit("grant", m.grant);
+  visit("number", m.number);
   visit("workspace", m.workspace);
   visit("amount", m.amount);
   visit("expiry_ms", m.expiry_ms);
@@ -174,11 +177,19 @@
   visit("bitmap", m.bitmap);
 }
 
-template <same_message<version_report_message> Message, typename Visitor>
+template <same_message<replica_report_message> Message, typename Visitor>
 void VisitFields(Message& m, Visitor&& visit) {
   visit("model", m.model);
+  visit("revision", m.revision);
   visit("version", m.version);
   visit("state", m.state);
+  visit("settled", m.settled);
+  visit("stopped", m.stopped);
+}
+
+template <same_message<upstream_crashed_message> Message, typename Visitor>
+void VisitFields(Message& m, Visitor&& visit) {
+  visit("fingerprints", m.fingerprints);
 }
 
 }  // namespace fireflyslip::internal
--- a/src/program/entry_traffic.cc
+++ b/src/program/entry_traffic.cc
@@ -141,8 +141,9 @@
       context.model.empty() ? current.UpstreamsOf(context.service)
                             : current.UpstreamsOf(context.model);
   if (context.non_idempotent) {
-    const auto home = HomeUpstream(ScopedKey(context.workspace, context.key),
-                                   context.service, candidates);
+    const auto home =
+        HomeUpstream(JournalSlot(ScopedKey(context.workspace, context.key)),
+                     context.service, candidates);
     candidates = home ? std::vector{*home} : std::vector<upstream_id>();
   }
   std::optional<vm_id> best;
--- a/tests/booking/journal_codec_test.cc
+++ b/tests/booking/journal_codec_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+#include <string>
+
 #include <string>
 #include <vector>
 
@@ -40,14 +43,27 @@
 
 // Guards against a second home for a key when the declaration is reordered.
 TEST_F(journal_codec_test, HomeUpstream_OtherOrder_IsTheSame) {
-  const idempotency_key key("w/a");
   const service_name service("bookings");
-  const auto home = HomeUpstream(
-      key, service, {upstream_id("b1"), upstream_id("b2"), upstream_id("b3")});
-  EXPECT_EQ(home, HomeUpstream(key, service,
-                               {upstream_id("b3"), upstream_id("b1"),
-                                upstream_id("b2")}));
-  EXPECT_FALSE(HomeUpstream(key, service, {}));
+  const upstream_id a("b1");
+  const upstream_id b("b2");
+  const upstream_id c("b3");
+  for (journal_slot slot = 0; slot < kJournalSlots; ++slot) {
+    EXPECT_EQ(HomeUpstream(slot, service, {a, b, c}),
+              HomeUpstream(slot, service, {c, a, b}));
+    EXPECT_FALSE(HomeUpstream(slot, service, {}));
+  }
+}
+
+// Guards against keys that crowd in few journals, or a number out of range.
+TEST_F(journal_codec_test, JournalSlot_ManyKeys_SpreadsOverAllSlots) {
+  std::set<journal_slot> used;
+  for (int i = 0; i < 1000; ++i) {
+    const journal_slot slot =
+        JournalSlot(idempotency_key("w/" + std::to_string(i)));
+    ASSERT_LT(slot, kJournalSlots);
+    used.insert(slot);
+  }
+  EXPECT_EQ(used.size(), kJournalSlots);
 }
 
 }  // namespace
