Keep the content type with the end of an attempt

answer_end_message carries a content type, but the ledger dropped it, so a replayed end would have had none. attempt_end now holds it, as its last field, so that present initializers stay valid. kept_answers() counts the answers that wait for their acknowledgement, which a draining agent must know.

--- a/include/fireflyslip/delivery/attempt_ledger.h
+++ b/include/fireflyslip/delivery/attempt_ledger.h
@@ -36,6 +36,7 @@
   std::optional<error_kind> kind;  ///< Absent for a complete answer.
   outcome result = outcome::kCompleted;
   std::string detail;
+  std::string content_type;  ///< Empty with an error.
   auto operator<=>(const attempt_end&) const = default;
 };
 
@@ -183,6 +184,8 @@
   std::size_t kept_bytes() const { return kept_bytes_; }
   /// \brief Number of attempts that are queued or running.
   std::size_t open_attempts() const { return open_; }
+  /// \brief Number of ended attempts that wait for their acknowledgement.
+  std::size_t kept_answers() const { return expiries_.size(); }
 
  private:
   enum class stage { kQueued, kRunning, kEnded, kRefused, kClosed };
