Add upstream_slots to the process settings

The agent's scheduler needs the number of attempts that the upstream runs at the same time. It depends on the VM, not on a workspace, so it is a setting of the process (default 8, 1 to 4096) and is refused for an entry.

--- a/include/fireflyslip/contract/process_settings.h
+++ b/include/fireflyslip/contract/process_settings.h
@@ -58,6 +58,8 @@
   std::uint32_t event_log_records = 4096;
   std::uint32_t chunk_cache_bytes = 32U << 20;
   std::uint32_t traffic_threads = 1;
+  /// Attempts that run on the upstream at the same time; only for an agent.
+  std::uint32_t upstream_slots = 8;
 
   bool operator==(const process_settings&) const = default;
 };
--- a/src/contract/process_settings.cc
+++ b/src/contract/process_settings.cc
@@ -99,6 +99,8 @@
           .value_or(settings.chunk_cache_bytes);
   settings.traffic_threads = reader.Integer("traffic_threads", false, 1, 64)
                                  .value_or(settings.traffic_threads);
+  settings.upstream_slots = reader.Integer("upstream_slots", false, 1, 4096)
+                                .value_or(settings.upstream_slots);
   if (settings.link_silence_timeout <= settings.heartbeat_interval) {
     reader.Report(kInconsistency, "link_silence_timeout_ms",
                   "must be above heartbeat_interval_ms");
@@ -122,7 +124,8 @@
   settings.region = region_id(reader.Name("region", true).value_or(""));
   if (settings.role == process_role::kEntry) {
     settings.listen = ReadEndpoint(reader, "listen", true);
-    RefuseFields(reader, settings.role, {"upstream", "origin"});
+    RefuseFields(reader, settings.role,
+                 {"upstream", "origin", "upstream_slots"});
   } else {
     settings.upstream = ReadEndpoint(reader, "upstream", true);
     settings.origin = ReadEndpoint(reader, "origin", false);
--- a/tests/contract/contract_test.cc
+++ b/tests/contract/contract_test.cc
@@ -193,10 +193,18 @@
   const auto parsed = ParseSettings(document.dump());
   ASSERT_TRUE(IsOk(parsed)) << ErrorOf(parsed).detail;
   EXPECT_EQ(ValueOf(parsed).drain_timeout, milliseconds(60000));
+  EXPECT_EQ(ValueOf(parsed).upstream_slots, 8);
+  document["upstream_slots"] = 0;
   EXPECT_THAT(
       CheckSettings(document.dump(), process_role::kAgent),
       AllOf(Contains(IsFinding(finding_kind::kMissingField, "$.upstream")),
-            Contains(IsFinding(finding_kind::kInconsistency, "$.listen"))));
+            Contains(IsFinding(finding_kind::kInconsistency, "$.listen")),
+            Contains(
+                IsFinding(finding_kind::kInvalidValue, "$.upstream_slots"))));
+  EXPECT_THAT(
+      CheckSettings(document.dump(), process_role::kEntry),
+      Contains(IsFinding(finding_kind::kInconsistency, "$.upstream_slots")));
+  document.erase("upstream_slots");
   document["drain_timeout_ms"] = 5;
   document["tls"] = {{"mode", "on"}, {"key_file", "k"}};
   document["link"]["address"] = "host.example";
