Let timer subscriptions end

Subscribe() returns an id, Unsubscribe() ends it, and core_driver does so when it is destroyed. Entries that end while timers expire are removed after the loop, which reads the vector by index.

--- a/include/fireflyslip/runtime/core_driver.h
+++ b/include/fireflyslip/runtime/core_driver.h
@@ -12,7 +12,8 @@
 namespace fireflyslip {
 
 /// \brief Binds a decision core to one thread: passes events with the present
-/// time, carries out the actions and sends ticks at the core's deadlines.
+/// time, carries out the actions and sends ticks at the core's deadlines. The
+/// timer service must outlive it; it must not be destroyed by its own actions.
 template <decision_core Core>
 class core_driver {
  public:
@@ -22,9 +23,10 @@
 
   core_driver(Core core, timer_service& timers, apply_function apply)
       : core_(std::move(core)), timers_(timers), apply_(std::move(apply)) {
-    timers_.Subscribe([this] { return core_.NextDeadline(); },
-                      [this] { Handle(tick{}); });
+    subscription_ = timers_.Subscribe([this] { return core_.NextDeadline(); },
+                                      [this] { Handle(tick{}); });
   }
+  ~core_driver() { timers_.Unsubscribe(subscription_); }
   core_driver(const core_driver&) = delete;
   core_driver& operator=(const core_driver&) = delete;
 
@@ -55,6 +57,7 @@
   apply_function apply_;
   std::deque<event> pending_;
   bool handling_ = false;
+  timer_service::subscription_id subscription_ = 0;
 };
 
 }  // namespace fireflyslip
--- a/include/fireflyslip/runtime/timer_service.h
+++ b/include/fireflyslip/runtime/timer_service.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <vector>
@@ -15,15 +16,22 @@
 ///
 /// A subscriber states its next deadline; the service calls it when the
 /// deadline has passed. All functions are called on the thread of the
-/// `io_context`. Subscriptions last as long as the service.
+/// `io_context`.
 class timer_service {
  public:
   using deadline_function = std::function<std::optional<time_point>()>;
   using due_function = std::function<void()>;
 
+  using subscription_id = std::uint64_t;
+
   explicit timer_service(boost::asio::io_context& context);
 
-  void Subscribe(deadline_function next_deadline, due_function on_due);
+  /// \brief Returns the id by which the subscription can be ended.
+  subscription_id Subscribe(deadline_function next_deadline,
+                            due_function on_due);
+
+  /// \brief Ends a subscription; its functions are not called any more.
+  void Unsubscribe(subscription_id id);
 
   /// \brief Calls `on_due` once in each period, first after one period.
   void SubscribePeriodic(duration period, due_function on_due);
@@ -37,6 +45,7 @@
 
  private:
   struct subscription {
+    subscription_id id = 0;
     deadline_function next_deadline;
     due_function on_due;
   };
@@ -46,6 +55,7 @@
 
   boost::asio::steady_timer timer_;
   std::vector<subscription> subscriptions_;
+  subscription_id next_id_ = 1;
   std::optional<time_point> armed_for_;
   bool expiring_ = false;
   bool stopped_ = false;
--- a/src/runtime/timer_service.cc
+++ b/src/runtime/timer_service.cc
@@ -17,10 +17,28 @@
 timer_service::timer_service(boost::asio::io_context& context)
     : timer_(context) {}
 
-void timer_service::Subscribe(deadline_function next_deadline,
-                              due_function on_due) {
-  subscriptions_.push_back({std::move(next_deadline), std::move(on_due)});
+timer_service::subscription_id timer_service::Subscribe(
+    deadline_function next_deadline,
+    due_function on_due) {
+  const subscription_id id = next_id_++;
+  subscriptions_.push_back({id, std::move(next_deadline), std::move(on_due)});
   Refresh();
+  return id;
+}
+
+void timer_service::Unsubscribe(subscription_id id) {
+  const auto ended = std::find_if(
+      subscriptions_.begin(), subscriptions_.end(),
+      [id](const subscription& subscriber) { return subscriber.id == id; });
+  if (ended == subscriptions_.end()) {
+    return;
+  }
+  if (expiring_) {
+    // `Expire()` reads the vector by index and removes the entry at its end.
+    *ended = {};
+  } else {
+    subscriptions_.erase(ended);
+  }
 }
 
 void timer_service::SubscribePeriodic(duration period, due_function on_due) {
@@ -71,6 +89,9 @@
   expiring_ = true;
   // A due function may add subscriptions, so the vector is read by index.
   for (std::size_t i = 0; i < subscriptions_.size(); ++i) {
+    if (subscriptions_[i].id == 0) {
+      continue;
+    }
     const std::optional<time_point> deadline =
         subscriptions_[i].next_deadline();
     if (deadline && *deadline <= MonotonicNow()) {
@@ -79,6 +100,9 @@
     }
   }
   expiring_ = false;
+  std::erase_if(subscriptions_, [](const subscription& subscriber) {
+    return subscriber.id == 0;
+  });
   armed_for_.reset();
   Refresh();
 }
