--- a/include/fireflyslip/booking/claim_journal.h
+++ b/include/fireflyslip/booking/claim_journal.h
@@ -98,6 +98,12 @@
   auto operator<=>(const resumed_after_pause&) const = default;
 };
 
+/// \brief The agent is not the home of the journal any more. No new call runs;
+/// those in progress are answered but not written.
+struct stopped {
+  auto operator<=>(const stopped&) const = default;
+};
+
 /// \brief The entry no longer waits for the attempt.
 struct abandoned {
   attempt_id attempt;
@@ -179,6 +185,7 @@
                              booking::journal_write_unknown,
                              booking::platform_failed,
                              booking::resumed_after_pause,
+                             booking::stopped,
                              booking::abandoned>;
   using action = std::variant<booking::read_journal,
                               booking::write_journal,
@@ -195,6 +202,14 @@
 
   /// \brief Whether this incarnation holds the journal, as far as it knows.
   bool is_owner() const { return owned_ && phase_ == phase::kActive; }
+  /// \brief Whether another incarnation holds the journal or it was stopped;
+  /// it runs no new call any more.
+  bool is_superseded() const { return phase_ == phase::kSuperseded; }
+  /// \brief Highest incarnation that was read from the journal object. One that
+  /// takes the journal over must be above it.
+  incarnation_number highest_incarnation() const {
+    return highest_incarnation_;
+  }
   /// \brief Number of keys in memory.
   std::size_t size() const { return records_.size(); }
 
@@ -203,7 +218,7 @@
     kStopped,     ///< `started` has not been handled.
     kReading,     ///< The contents or the version of the object are unknown.
     kActive,      ///< The version is known.
-    kSuperseded,  ///< A later incarnation holds the journal.
+    kSuperseded,  ///< A later incarnation holds the journal, or `stopped`.
   };
   enum class operation { kNone, kRead, kWrite };
   enum class stage { kPending, kRunning, kDone };
@@ -241,10 +256,11 @@
   void On(const booking::journal_write_unknown& event);
   void On(const booking::platform_failed& event);
   void On(const booking::resumed_after_pause& event);
+  void On(const booking::stopped& event);
   void On(const booking::abandoned& event);
 
   void Merge(const journal_document& document);
-  void Supersede();
+  void Supersede(const char* reason);
   void ConfirmWrite(const pending_write& write, object_version version);
   void CallPlatform();
   void StartWrite();
@@ -265,6 +281,7 @@
   claim_journal_settings settings_;
   random_source random_{0};
   incarnation_number incarnation_ = 0;
+  incarnation_number highest_incarnation_ = 0;
   phase phase_ = phase::kStopped;
   operation operation_ = operation::kNone;
   /// Whether the read in progress started before a pause.
--- a/src/booking/claim_journal.cc
+++ b/src/booking/claim_journal.cc
@@ -14,6 +14,8 @@
 // field names, status, digest and a content type whose every byte is escaped.
 // It is reserved with the claim, so that a finished call can be recorded.
 constexpr std::size_t kAnswerReserve = 450;  // bytes
+constexpr char kSupersededReason[] =
+    "a later incarnation of the agent holds the journal";
 
 std::string MakeUpdateId(incarnation_number incarnation,
                          random_source& random) {
@@ -97,8 +99,7 @@
       return;
     }
     if (phase_ == phase::kSuperseded) {
-      Refuse(event.attempt, error_kind::kUpstreamLeaving,
-             "a later incarnation of the agent holds the journal");
+      Refuse(event.attempt, error_kind::kUpstreamLeaving, kSupersededReason);
       return;
     }
     record claim;
@@ -182,7 +183,7 @@
 void claim_journal::On(const booking::journal_read& event) {
   assert(operation_ == operation::kRead);
   operation_ = operation::kNone;
-  if (reread_) {
+  if (reread_ || phase_ == phase::kSuperseded) {
     reread_ = false;
     return;
   }
@@ -194,6 +195,7 @@
     return;
   }
   const journal_document& document = ValueOf(decoded);
+  highest_incarnation_ = std::max(highest_incarnation_, document.incarnation);
   const auto ours = std::find_if(unresolved_.begin(), unresolved_.end(),
                                  [&](const pending_write& write) {
                                    return write.update_id == document.update_id;
@@ -203,7 +205,7 @@
   } else if (owned_ && document.update_id == last_update_id_) {
     phase_ = phase::kActive;
   } else if (document.incarnation > incarnation_) {
-    Supersede();
+    Supersede(kSupersededReason);
   } else {
     if (version_ != event.version) {
       // Updates that expect the previous version can't take effect any more.
@@ -220,7 +222,7 @@
 void claim_journal::On(const booking::journal_missing& /*event*/) {
   assert(operation_ == operation::kRead);
   operation_ = operation::kNone;
-  if (reread_) {
+  if (reread_ || phase_ == phase::kSuperseded) {
     reread_ = false;
     return;
   }
@@ -246,6 +248,9 @@
 void claim_journal::On(const booking::journal_conflict& /*event*/) {
   assert(operation_ == operation::kWrite);
   operation_ = operation::kNone;
+  if (phase_ == phase::kSuperseded) {
+    return;
+  }
   phase_ = phase::kReading;
   not_before_ = now_;
 }
@@ -253,13 +258,16 @@
 void claim_journal::On(const booking::journal_write_unknown& /*event*/) {
   assert(operation_ == operation::kWrite);
   operation_ = operation::kNone;
+  if (phase_ == phase::kSuperseded) {
+    return;
+  }
   phase_ = phase::kReading;
   not_before_ = now_;
 }
 
 void claim_journal::On(const booking::platform_failed& /*event*/) {
   assert(operation_ != operation::kNone);
-  if (operation_ == operation::kWrite) {
+  if (operation_ == operation::kWrite && !unresolved_.empty()) {
     unresolved_.pop_back();
   }
   operation_ = operation::kNone;
@@ -276,6 +284,10 @@
   not_before_ = now_;
 }
 
+void claim_journal::On(const booking::stopped& /*event*/) {
+  Supersede("the journal has another home");
+}
+
 void claim_journal::On(const booking::abandoned& event) {
   const auto waiting = waiters_.find(event.attempt);
   if (waiting == waiters_.end()) {
@@ -332,15 +344,14 @@
   }
 }
 
-void claim_journal::Supersede() {
+void claim_journal::Supersede(const char* reason) {
   phase_ = phase::kSuperseded;
   owned_ = false;
   unresolved_.clear();
   for (auto it = records_.begin(); it != records_.end();) {
     const auto current = it++;
     if (current->second.at == stage::kPending) {
-      RefuseWaiters(current->second, error_kind::kUpstreamLeaving,
-                    "a later incarnation of the agent holds the journal");
+      RefuseWaiters(current->second, error_kind::kUpstreamLeaving, reason);
       Erase(current);
     }
   }
--- a/tests/booking/claim_journal_test.cc
+++ b/tests/booking/claim_journal_test.cc
@@ -471,5 +471,40 @@
   RecordProperty("runs", runs);
 }
 
+// A second journal within one test.
+struct journal_host : claim_journal_test {
+  using claim_journal_test::actions;
+  using claim_journal_test::Claim;
+  using claim_journal_test::core_;
+  using claim_journal_test::Run;
+  using claim_journal_test::Send;
+  using claim_journal_test::TakeOver;
+  using claim_journal_test::Wait;
+  void TestBody() override {}
+};
+
+// Guards against a journal that goes on after its slot moved to another agent:
+// the answer to an update in progress must not start calls or a new read.
+TEST_F(claim_journal_test, Stopped_WriteInProgress_RunsNothingMore) {
+  const auto answers = std::vector<claim_journal::event>{
+      journal_written{9}, journal_conflict{}, journal_write_unknown{},
+      platform_failed{}};
+  for (const claim_journal::event& written : answers) {
+    journal_host other;
+    other.TakeOver();
+    other.Run(1, "running");
+    ASSERT_EQ(Select<write_journal>(other.Claim(2, "claimed")).size(), 1U);
+    EXPECT_EQ(Refusal(other.Send(stopped{})), error_kind::kUpstreamLeaving);
+    EXPECT_TRUE(other.core_.is_superseded());
+    EXPECT_TRUE(other.Send(written).empty());
+    EXPECT_TRUE(other.Wait(milliseconds(200)).empty());
+    EXPECT_EQ(Refusal(other.Claim(3, "new")), error_kind::kUpstreamLeaving);
+    const actions ended =
+        other.Send(run_finished{Key("running"), 200, "text/plain", "done"});
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_EQ(Select<answer>(ended).size(), 1U);
+  }
+}
+
 }  // namespace
 }  // namespace fireflyslip
