Bind admission, routing and retries to the entry's request path

Cause: the entry forwarded each request once to any connected agent; contracts, failover, resumption, fates of bookings and crashing requests were not handled. Ruled out: a timer subscription for the answer_assembler of each request, since subscriptions last as long as the timer service; its deadline bounds the wait for the next message instead. Hedging is left out: it needs two assemblers for one response. Change: the filters are identify, admit, route, forward, answer; entry_admission, upstream_directory, crash_guard and request_forwarder bind the cores. A restarted agent makes a booking unknown, because the new process would refuse an attempt that the old one may have run.

Conclusion: all cores of the entry are in the request path.

--- a/src/program/answer_writer.cc
+++ b/src/program/answer_writer.cc
@@ -73,6 +73,12 @@
   co_return true;
 }
 
+void answer_writer::Restart() {
+  body_.clear();
+  version_.clear();
+  completion_id_.clear();
+}
+
 void answer_writer::AddToCompletion(const std::string& data) {
   const json part = json::parse(data, nullptr, false);
   body_ += Text(part, json::json_pointer("/choices/0/delta/content"));
--- a/src/program/answer_writer.h
+++ b/src/program/answer_writer.h
@@ -21,6 +21,9 @@
   /// \brief Forwards the next part. Returns false if the caller has left.
   boost::asio::awaitable<bool> Part(const std::string& data);
 
+  /// \brief Forgets the parts of a response of which nothing was sent.
+  void Restart();
+
   /// \brief Ends the response of a request that succeeded.
   boost::asio::awaitable<void> Finish(int http_status,
                                       const std::string& content_type);
--- a/src/program/entry_daemon.cc
+++ b/src/program/entry_daemon.cc
@@ -36,6 +36,9 @@
       traffic_.OnMessage(peer, std::move(message));
     });
   }
+  void OnPause() {
+    thread_.Post([this] { traffic_.OnPause(); });
+  }
   void Drain() { traffic_.Drain(); }
   std::size_t InProgress() const { return traffic_.requests_in_progress(); }
   bool IsReady() const { return true; }
--- a/src/program/entry_traffic.cc
+++ b/src/program/entry_traffic.cc
@@ -1,6 +1,6 @@
 #include "program/entry_traffic.h"
 
-#include <algorithm>
+#include <string>
 #include <utility>
 
 namespace fireflyslip {
@@ -8,12 +8,6 @@
 
 using boost::asio::awaitable;
 
-milliseconds TimeLeft(time_point deadline) {
-  return std::max(
-      std::chrono::duration_cast<milliseconds>(deadline - MonotonicNow()),
-      milliseconds(0));
-}
-
 }  // namespace
 
 entry_traffic::entry_traffic(io_thread& thread,
@@ -22,6 +16,16 @@
     : thread_(thread),
       process_(process),
       send_(std::move(send)),
+      timers_(thread.context()),
+      admission_(process, timers_, send_),
+      crashes_(process, timers_, send_),
+      upstreams_(process, timers_),
+      forwarder_(thread.context(),
+                 process,
+                 timers_,
+                 upstreams_,
+                 crashes_,
+                 send_),
       server_(thread.context(),
               http_limits{},
               [this](http_request request, response_writer& writer) {
@@ -34,6 +38,7 @@
   if (!IsOk(port)) {
     return ErrorOf(port);
   }
+  port_ = ValueOf(port);
   return std::monostate();
 }
 
@@ -41,43 +46,59 @@
   server_.Drain();
 }
 
+void entry_traffic::OnSnapshot(snapshot_pointer snapshot) {
+  snapshot_ = std::move(snapshot);
+  admission_.OnSnapshot(*snapshot_);
+  upstreams_.OnSnapshot(snapshot_);
+}
+
 void entry_traffic::OnPeerConnected(const hello_message& peer) {
   if (peer.role == ToString(process_role::kAgent)) {
-    upstreams_[peer.vm] = {};
+    upstreams_.OnAgentConnected(peer.vm, peer.incarnation);
+    forwarder_.OnAgentConnected(peer.vm, peer.incarnation);
+  } else if (peer.role == ToString(process_role::kEntry)) {
+    admission_.OnEntryConnected(peer.vm);
+    crashes_.OnEntryConnected(peer.vm);
   }
 }
 
 void entry_traffic::OnPeerLost(const vm_id& peer) {
-  upstreams_.erase(peer);
-  for (auto& [attempt, open] : attempts_) {
-    if (open.upstream == peer) {
-      open.events->Push(attempt_lost{});
-    }
-  }
+  upstreams_.OnAgentLost(peer);
+  forwarder_.OnAgentLost(peer);
+  admission_.OnEntryLost(peer);
+  crashes_.OnEntryLost(peer);
 }
 
 void entry_traffic::OnMessage(const vm_id& peer, link_message message) {
-  const auto to_attempt = [this](auto&& event) {
-    const auto found = attempts_.find(event.attempt);
-    if (found != attempts_.end()) {
-      found->second.events->Push(std::forward<decltype(event)>(event));
-    }
-  };
   std::visit(
       overloaded{
-          [&](answer_part_message& part) { to_attempt(part); },
-          [&](answer_end_message& end) { to_attempt(end); },
-          [&](fate_message& fate) { to_attempt(fate); },
-          [&](load_report_message& load) { upstreams_[peer].load = load; },
-          [&](leaving_message&) { upstreams_[peer].leaving = true; },
+          [&](answer_part_message& part) {
+            forwarder_.OnMessage(peer, std::move(part));
+          },
+          [&](answer_end_message& end) {
+            forwarder_.OnMessage(peer, std::move(end));
+          },
+          [&](fate_message& fate) { forwarder_.OnMessage(peer, fate); },
+          [&](load_report_message& load) { upstreams_.OnLoad(peer, load); },
+          [&](leaving_message&) { upstreams_.OnLeaving(peer); },
+          [&](upstream_crashed_message& crashed) {
+            crashes_.OnMessage(peer, crashed);
+          },
+          [&](crash_notice_message& notice) { crashes_.OnMessage(notice); },
+          [&](share_request_message& request) {
+            admission_.OnMessage(peer, request);
+          },
+          [&](share_grant_message& grant) {
+            admission_.OnMessage(peer, grant);
+          },
           [](auto&) {},
       },
       message);
 }
 
-const std::array<entry_traffic::filter, 2> entry_traffic::kFilters = {
-    &entry_traffic::Identify,
-    &entry_traffic::Forward,
+const std::array<entry_traffic::filter, 5> entry_traffic::kFilters = {
+    &entry_traffic::Identify, &entry_traffic::Admit,  &entry_traffic::Route,
+    &entry_traffic::Forward,  &entry_traffic::Answer,
 };
 
 awaitable<status> entry_traffic::RunFilter(std::size_t step,
@@ -101,6 +122,7 @@
   for (std::size_t step = 0; IsOk(passed) && step < kFilters.size(); ++step) {
     passed = co_await RunFilter(step, context, answer);
   }
+  admission_.Used(context);
   if (!IsOk(passed)) {
     co_await answer.Fail(ErrorOf(passed));
   }
@@ -110,13 +132,21 @@
 void entry_traffic::RecordEnd(const request_context& context,
                               const status& ended) {
   const double elapsed = ToSeconds(MonotonicNow() - context.arrival);
-  const std::string answer =
-      IsOk(ended) ? "ok" : std::string(AnswerFor(ErrorOf(ended).kind).name);
+  std::string answer = "ok";
+  outcome concluded = outcome::kCompleted;
+  if (!IsOk(ended)) {
+    const error_answer& entry = AnswerFor(ErrorOf(ended).kind);
+    answer = std::string(entry.name);
+    concluded = context.known_outcome.value_or(entry.default_outcome);
+  }
   process_.metrics().ObserveSeconds(
       "fireflyslip_request_seconds",
       {{"rank", std::string(ToString(context.rank))}, {"answer", answer}},
       elapsed);
-  process_.Record(event_kind::kRequestAnswered, {{"answer", answer}},
+  process_.Record(event_kind::kRequestAnswered,
+                  {{"answer", answer},
+                   {"outcome", std::string(ToString(concluded))},
+                   {"attempts", std::to_string(context.attempts)}},
                   context.id, context.workspace);
 }
 
@@ -125,106 +155,50 @@
   co_return IdentifyRequest(context);
 }
 
+awaitable<status> entry_traffic::Admit(request_context& context,
+                                       answer_writer& /*writer*/) {
+  co_return CheckLimits(context);
+}
+
+awaitable<status> entry_traffic::Route(request_context& context,
+                                       answer_writer& /*writer*/) {
+  co_return SelectUpstream(context);
+}
+
 awaitable<status> entry_traffic::Forward(request_context& context,
                                          answer_writer& writer) {
-  const result<vm_id> upstream = SelectUpstream(context);
-  if (!IsOk(upstream)) {
-    co_return ErrorOf(upstream);
-  }
-  co_return co_await RunAttempt(context, ValueOf(upstream), writer);
-}
-
-result<vm_id> entry_traffic::SelectUpstream(
-    const request_context& context) const {
-  const configuration& current = context.snapshot->configuration;
-  std::vector<upstream_id> candidates =
-      context.model.empty() ? current.UpstreamsOf(context.service)
-                            : current.UpstreamsOf(context.model);
-  if (context.non_idempotent) {
-    const auto home =
-        HomeUpstream(JournalSlot(ScopedKey(context.workspace, context.key)),
-                     context.service, candidates);
-    candidates = home ? std::vector{*home} : std::vector<upstream_id>();
-  }
-  std::optional<vm_id> best;
-  std::uint64_t least = 0;
-  for (const upstream_id& candidate : candidates) {
-    const vm_id vm(candidate.value());
-    const auto found = upstreams_.find(vm);
-    if (found == upstreams_.end() || found->second.leaving ||
-        !found->second.load.accepts_work) {
-      continue;
-    }
-    if (!best || found->second.outstanding < least) {
-      best = vm;
-      least = found->second.outstanding;
-    }
-  }
-  if (!best) {
-    return error{error_kind::kNoUpstream, "no upstream is connected"};
-  }
-  return *best;
-}
-
-attempt_message entry_traffic::MakeAttempt(const request_context& context,
-                                           const attempt_id& attempt) const {
-  attempt_message message;
-  message.attempt = attempt;
-  message.workspace = context.workspace;
-  message.weight = context.weight;
-  message.rank = context.rank;
-  message.deadline_ms =
-      static_cast<std::uint64_t>(TimeLeft(context.deadline).count());
-  message.model = context.model;
-  message.service = context.service;
-  message.method = context.request.method;
-  message.path = context.service_path;
-  message.content_type = std::string(context.request.Field("Content-Type"));
-  message.body = context.request.body;
-  message.key = context.key;
-  message.non_idempotent = context.non_idempotent;
-  message.estimated_tokens = context.estimated_tokens;
-  return message;
-}
-
-awaitable<status> entry_traffic::RunAttempt(request_context& context,
-                                            const vm_id& upstream,
-                                            answer_writer& writer) {
-  const attempt_id attempt{context.id, ++context.attempts};
-  open_attempt& open = attempts_[attempt];
-  open.upstream = upstream;
-  open.events = std::make_unique<async_queue<attempt_event>>(thread_.context());
-  ++upstreams_[upstream].outstanding;
-  process_.Record(event_kind::kAttemptSent, {{"upstream", upstream.value()}},
-                  context.id, context.workspace);
-  send_(upstream, MakeAttempt(context, attempt));
-  status ended = error{error_kind::kOutcomeUnknown, "no answer in time"};
-  while (true) {
-    const auto event = co_await open.events->Pop(TimeLeft(context.deadline));
-    if (!event || std::holds_alternative<attempt_lost>(*event)) {
-      break;
-    }
-    if (const auto* part = std::get_if<answer_part_message>(&*event)) {
-      ++context.parts;
-      co_await writer.Part(part->data);
-    }
-    if (const auto* end = std::get_if<answer_end_message>(&*event)) {
-      if (end->failed) {
-        context.known_outcome = end->conclusion;
-        ended = error{end->problem, end->detail};
-      } else {
-        co_await writer.Finish(end->http_status, end->content_type);
-        ended = std::monostate();
-      }
-      break;
-    }
+  return forwarder_.Forward(context, writer);
+}
+
+awaitable<status> entry_traffic::Answer(request_context& context,
+                                        answer_writer& writer) {
+  co_await writer.Finish(context.http_status, context.content_type);
+  co_return std::monostate();
+}
+
+status entry_traffic::CheckLimits(request_context& context) {
+  status admitted = admission_.Admit(context);
+  const std::string rank(ToString(context.rank));
+  process_.metrics().Count(
+      "fireflyslip_admissions_total",
+      {{"rank", rank}, {"result", IsOk(admitted) ? "admitted" : "refused"}});
+  process_.Record(IsOk(admitted) ? event_kind::kRequestAdmitted
+                                 : event_kind::kRequestRefused,
+                  {{"rank", rank}}, context.id, context.workspace);
+  return admitted;
+}
+
+status entry_traffic::SelectUpstream(request_context& context) {
+  if (crashes_.IsBlocked(context.fingerprint)) {
+    return error{error_kind::kRequestCrashesUpstream,
+                 "the request crashed the upstreams that ran it"};
   }
-  attempts_.erase(attempt);
-  const auto found = upstreams_.find(upstream);
-  if (found != upstreams_.end() && found->second.outstanding > 0) {
-    --found->second.outstanding;
+  const result<vm_id> upstream = upstreams_.Route(context);
+  if (!IsOk(upstream)) {
+    return ErrorOf(upstream);
   }
-  co_return ended;
+  context.upstream = ValueOf(upstream);
+  return std::monostate();
 }
 
 }  // namespace fireflyslip
--- a/src/program/entry_traffic.h
+++ b/src/program/entry_traffic.h
@@ -5,26 +5,24 @@
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
-#include <optional>
-#include <set>
-#include <string>
-#include <variant>
 
-#include "fireflyslip/booking.h"
 #include "fireflyslip/http.h"
 #include "fireflyslip/link.h"
 #include "fireflyslip/runtime.h"
 #include "program/answer_writer.h"
+#include "program/crash_guard.h"
+#include "program/entry_admission.h"
 #include "program/fleet_snapshot.h"
 #include "program/process_context.h"
 #include "program/request_context.h"
+#include "program/request_forwarder.h"
+#include "program/upstream_directory.h"
 
 namespace fireflyslip {
 
 /// \brief The traffic thread of an entry: takes callers' requests through the
-/// filters identify, admit, route and forward.
+/// filters identify, admit, route, forward and answer.
 class entry_traffic {
  public:
   using send_function =
@@ -36,6 +34,8 @@
 
   /// \brief Starts to listen for callers.
   status Start();
+  /// \brief Port on which it listens.
+  unsigned short port() const { return port_; }
   /// \brief Stops accepting; requests in progress are completed.
   void Drain();
   std::size_t requests_in_progress() const {
@@ -43,33 +43,19 @@
   }
 
   // The following are called on the traffic thread.
-  void OnSnapshot(snapshot_pointer snapshot) {
-    snapshot_ = std::move(snapshot);
-  }
+  void OnSnapshot(snapshot_pointer snapshot);
   void OnPeerConnected(const hello_message& peer);
   void OnPeerLost(const vm_id& peer);
   void OnMessage(const vm_id& peer, link_message message);
+  /// \brief The process was paused: borrowed shares may have expired.
+  void OnPause() { admission_.OnPause(); }
 
  private:
-  struct attempt_lost {};
-  using attempt_event = std::variant<answer_part_message,
-                                     answer_end_message,
-                                     fate_message,
-                                     attempt_lost>;
-  struct open_attempt {
-    vm_id upstream;
-    std::unique_ptr<async_queue<attempt_event>> events;
-  };
-  struct upstream_state {
-    bool leaving = false;
-    std::uint64_t outstanding = 0;
-    load_report_message load;
-  };
   using filter = boost::asio::awaitable<status> (
       entry_traffic::*)(request_context& context, answer_writer& writer);
 
   /// The order of the filters of the request path.
-  static const std::array<filter, 2> kFilters;
+  static const std::array<filter, 5> kFilters;
 
   boost::asio::awaitable<status> RunFilter(std::size_t step,
                                            request_context& context,
@@ -78,24 +64,30 @@
                                      response_writer& writer);
   boost::asio::awaitable<status> Identify(request_context& context,
                                           answer_writer& writer);
+  boost::asio::awaitable<status> Admit(request_context& context,
+                                       answer_writer& writer);
+  boost::asio::awaitable<status> Route(request_context& context,
+                                       answer_writer& writer);
   boost::asio::awaitable<status> Forward(request_context& context,
                                          answer_writer& writer);
-  boost::asio::awaitable<status> RunAttempt(request_context& context,
-                                            const vm_id& upstream,
-                                            answer_writer& writer);
-  result<vm_id> SelectUpstream(const request_context& context) const;
-  attempt_message MakeAttempt(const request_context& context,
-                              const attempt_id& attempt) const;
+  boost::asio::awaitable<status> Answer(request_context& context,
+                                        answer_writer& writer);
+  status SelectUpstream(request_context& context);
+  status CheckLimits(request_context& context);
   void RecordEnd(const request_context& context, const status& ended);
 
   io_thread& thread_;
   process_context& process_;
   send_function send_;
+  timer_service timers_;
   snapshot_pointer snapshot_ = std::make_shared<fleet_snapshot>();
   std::uint64_t last_sequence_ = 0;
-  std::map<vm_id, upstream_state> upstreams_;
-  std::map<attempt_id, open_attempt> attempts_;
+  entry_admission admission_;
+  crash_guard crashes_;
+  upstream_directory upstreams_;
+  request_forwarder forwarder_;
   http_server server_;
+  unsigned short port_ = 0;
 };
 
 }  // namespace fireflyslip
--- a/src/program/request_context.cc
+++ b/src/program/request_context.cc
@@ -16,6 +16,9 @@
 constexpr std::uint64_t kMaxTokensBound = 1'000'000;
 constexpr std::size_t kBytesPerToken = 4;
 constexpr std::size_t kMaxKeyBytes = 256;
+// Requests with the same system prompt share its start. Longer prefixes would
+// tell apart requests that share most of a cached prompt.
+constexpr std::size_t kPrefixBytes = 512;
 constexpr milliseconds kMaxDeadline = std::chrono::hours(1);
 
 error Invalid(std::string detail) {
@@ -93,6 +96,12 @@
   if (context.snapshot->configuration.Find(context.model) == nullptr) {
     return error{error_kind::kNotFound, "model is not declared"};
   }
+  const std::string first =
+      messages->front().dump(-1, ' ', false, json::error_handler_t::replace);
+  context.prefix_hash = std::max<std::uint64_t>(
+      RendezvousScore("prefix",
+                      std::string_view(first).substr(0, kPrefixBytes)),
+      1);
   context.streaming = stream != body.end() && stream->get<bool>();
   context.estimated_tokens =
       (limit != body.end() ? limit->get<std::uint64_t>() : kDefaultMaxTokens) +
@@ -129,6 +138,25 @@
   return std::monostate();
 }
 
+status IdentifyTarget(request_context& context) {
+  if (context.request.path() == kCompletionsPath) {
+    return IdentifyModelRequest(context);
+  }
+  if (context.request.path().starts_with(kServicesPrefix)) {
+    return IdentifyServiceCall(context);
+  }
+  return error{error_kind::kNotFound, "no such path"};
+}
+
+std::string Fingerprint(const request_context& context) {
+  const std::string target = context.model.empty()
+                                 ? context.service.value() + '\n' +
+                                       context.request.method + '\n' +
+                                       context.service_path
+                                 : context.model.value();
+  return digest::Of(target + '\n' + context.request.body).ToHex();
+}
+
 }  // namespace
 
 status IdentifyRequest(request_context& context) {
@@ -142,13 +170,11 @@
   if (status known = IdentifyRank(context); !IsOk(known)) {
     return known;
   }
-  if (context.request.path() == kCompletionsPath) {
-    return IdentifyModelRequest(context);
-  }
-  if (context.request.path().starts_with(kServicesPrefix)) {
-    return IdentifyServiceCall(context);
+  status known = IdentifyTarget(context);
+  if (IsOk(known)) {
+    context.fingerprint = Fingerprint(context);
   }
-  return error{error_kind::kNotFound, "no such path"};
+  return known;
 }
 
 }  // namespace fireflyslip
--- a/src/program/request_context.h
+++ b/src/program/request_context.h
@@ -31,11 +31,26 @@
   bool non_idempotent = false;
   bool streaming = false;
   std::uint64_t estimated_tokens = 0;
+  std::uint64_t prefix_hash = 0;  ///< Of the start of the prompt; 0 for none.
+  std::string fingerprint;        ///< Equal for repetitions of the request.
+
+  // Set by the filter `admit`.
+  bool admitted = false;
+  /// Whether it was admitted beyond the share that the entry holds just after
+  /// its start.
+  bool from_start_allowance = false;
+
+  // Set by the filter `route`.
+  vm_id upstream;
 
   // Set by the filter `forward`.
   bool response_started = false;
   std::uint32_t attempts = 0;
   std::uint64_t parts = 0;
+  /// Whether an attempt has run or may have run.
+  bool may_have_run = false;
+  int http_status = 200;
+  std::string content_type;
   /// What is known about the execution, if it differs from the error table.
   std::optional<outcome> known_outcome;
   std::optional<duration> retry_after;
--- /dev/null
+++ b/src/program/upstream_directory.cc
@@ -0,0 +1,263 @@
+#include "program/upstream_directory.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fireflyslip/booking.h"
+
+namespace fireflyslip {
+namespace {
+
+// Bytes on the link of one part: the data of an event and its CBOR frame.
+constexpr std::uint64_t kBytesPerPart = 250;
+
+vm_id AgentOf(const upstream_id& upstream) {
+  return vm_id(upstream.value());
+}
+
+std::string TargetOf(const request_context& context) {
+  return context.model.empty() ? "service/" + context.service.value()
+                               : "model/" + context.model.value();
+}
+
+std::string TargetOf(const upstream_declaration& declared) {
+  return declared.model ? "model/" + declared.model->value()
+                        : "service/" + declared.service->value();
+}
+
+const std::vector<upstream_id>& DeclaredFor(const request_context& context,
+                                            const configuration& current) {
+  return context.model.empty() ? current.UpstreamsOf(context.service)
+                               : current.UpstreamsOf(context.model);
+}
+
+}  // namespace
+
+upstream_directory::upstream_directory(process_context& process,
+                                       timer_service& timers)
+    : process_(process), timers_(timers) {}
+
+result<vm_id> upstream_directory::Route(
+    const request_context& context,
+    const std::set<vm_id>& excluded,
+    const std::optional<model_version>& version) {
+  if (context.non_idempotent) {
+    return RouteHome(context);
+  }
+  std::optional<vm_id> found = RouteAny(context, excluded, version);
+  if (!found && !excluded.empty()) {
+    found = RouteAny(context, {}, version);
+  }
+  if (!found) {
+    return error{error_kind::kNoUpstream, "no upstream accepts work"};
+  }
+  return *found;
+}
+
+result<vm_id> upstream_directory::RouteHome(
+    const request_context& context) const {
+  const auto home = HomeUpstream(
+      JournalSlot(ScopedKey(context.workspace, context.key)), context.service,
+      snapshot_->configuration.UpstreamsOf(context.service));
+  if (!home) {
+    return error{error_kind::kNoUpstream, "the service has no upstream"};
+  }
+  const vm_id agent = AgentOf(*home);
+  if (IsLeaving(agent)) {
+    return error{error_kind::kUpstreamLeaving,
+                 "the home upstream of the key is leaving"};
+  }
+  if (FindEligible(agent) == nullptr) {
+    return error{error_kind::kNoUpstream,
+                 "the home upstream of the key is not in reach"};
+  }
+  return agent;
+}
+
+std::optional<vm_id> upstream_directory::RouteAny(
+    const request_context& context,
+    const std::set<vm_id>& excluded,
+    const std::optional<model_version>& version) {
+  if (router_ == nullptr) {
+    return std::nullopt;
+  }
+  router::request_arrived arrived;
+  arrived.request = context.id;
+  arrived.target = TargetOf(context);
+  arrived.rank = context.rank;
+  arrived.prefix_hash = context.prefix_hash;
+  arrived.estimated_tokens = context.estimated_tokens;
+  arrived.bytes =
+      context.request.body.size() + kBytesPerPart * context.estimated_tokens;
+  for (const upstream_id& upstream :
+       DeclaredFor(context, snapshot_->configuration)) {
+    const vm_id agent = AgentOf(upstream);
+    const agent_state* state = FindEligible(agent);
+    if (state == nullptr) {
+      continue;  // known to the router as not eligible
+    }
+    if (excluded.contains(agent) ||
+        (version && state->load->version != *version)) {
+      arrived.excluded.push_back(upstream);
+    }
+  }
+  routed_.reset();
+  router_->Handle(std::move(arrived));
+  return routed_;
+}
+
+bool upstream_directory::IsServed(const model_name& model,
+                                  const model_version& version) const {
+  const auto& declared = snapshot_->configuration.UpstreamsOf(model);
+  return std::any_of(
+      declared.begin(), declared.end(), [&](const upstream_id& upstream) {
+        const agent_state* state = FindEligible(AgentOf(upstream));
+        return state != nullptr && state->load->version == version;
+      });
+}
+
+void upstream_directory::OnEnded(const request_context& context,
+                                 const vm_id& agent,
+                                 bool has_failed) {
+  if (router_ == nullptr || context.non_idempotent) {
+    return;
+  }
+  const upstream_id upstream(agent.value());
+  if (has_failed) {
+    router_->Handle(router::failed{context.id, upstream});
+  } else {
+    router_->Handle(router::finished{context.id, upstream, context.parts});
+  }
+}
+
+std::optional<incarnation_number> upstream_directory::IncarnationOf(
+    const vm_id& agent) const {
+  const auto found = agents_.find(agent);
+  return found == agents_.end() ? std::nullopt
+                                : std::optional(found->second.incarnation);
+}
+
+void upstream_directory::OnSnapshot(snapshot_pointer snapshot) {
+  snapshot_ = std::move(snapshot);
+  if (router_ == nullptr && snapshot_->revision > 0) {
+    routing_settings settings;
+    settings.region = process_.settings().region;
+    settings.data_centre = process_.settings().data_centre;
+    settings.entries =
+        std::max<std::size_t>(snapshot_->configuration.EntryCount(), 1);
+    router_ = std::make_unique<core_driver<router>>(
+        router(settings, random_source(process_.incarnation())), timers_,
+        [this](const router::action& action) {
+          if (const auto* route = std::get_if<router::route>(&action)) {
+            routed_ = AgentOf(route->upstream);
+          }
+        });
+  }
+  std::set<upstream_id> all = known_;
+  for (const auto& [upstream, declared] :
+       snapshot_->configuration.upstreams()) {
+    all.insert(upstream);
+  }
+  for (const upstream_id& upstream : all) {
+    Update(upstream);
+  }
+}
+
+void upstream_directory::OnAgentConnected(const vm_id& agent,
+                                          incarnation_number incarnation) {
+  agent_state& state = agents_[agent];
+  if (state.incarnation != incarnation) {
+    state = {incarnation, false, std::nullopt};
+  }
+  Update(upstream_id(agent.value()));
+}
+
+void upstream_directory::OnAgentLost(const vm_id& agent) {
+  agents_.erase(agent);
+  Update(upstream_id(agent.value()));
+}
+
+void upstream_directory::OnLoad(const vm_id& agent,
+                                const load_report_message& load) {
+  const auto found = agents_.find(agent);
+  if (found == agents_.end()) {
+    return;
+  }
+  found->second.load = load;
+  const upstream_id upstream(agent.value());
+  Update(upstream);
+  if (known_.contains(upstream)) {
+    router_->Handle(router::load_reported{upstream, load.running,
+                                          load.queued_tokens,
+                                          load.tokens_per_second, duration(0)});
+  }
+}
+
+void upstream_directory::OnLeaving(const vm_id& agent) {
+  if (const auto found = agents_.find(agent); found != agents_.end()) {
+    found->second.leaving = true;
+    Update(upstream_id(agent.value()));
+  }
+}
+
+bool upstream_directory::IsLeaving(const vm_id& agent) const {
+  const auto state = agents_.find(agent);
+  const auto member = snapshot_->members.find(agent);
+  return (state != agents_.end() && state->second.leaving) ||
+         (member != snapshot_->members.end() && member->second.leaving);
+}
+
+const upstream_directory::agent_state* upstream_directory::FindEligible(
+    const vm_id& agent) const {
+  const upstream_declaration* declared =
+      snapshot_->configuration.Find(upstream_id(agent.value()));
+  const auto found = agents_.find(agent);
+  if (declared == nullptr || found == agents_.end() || IsLeaving(agent)) {
+    return nullptr;
+  }
+  const auto& load = found->second.load;
+  if (!load || !load->accepts_work ||
+      (declared->model && !load->model.empty() &&
+       load->model != *declared->model)) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+region_id upstream_directory::RegionOf(
+    const vm_id& agent,
+    const data_centre_id& data_centre) const {
+  const auto member = snapshot_->members.find(agent);
+  if (member != snapshot_->members.end() && !member->second.region.empty()) {
+    return member->second.region;
+  }
+  return data_centre == process_.settings().data_centre
+             ? process_.settings().region
+             : region_id();
+}
+
+void upstream_directory::Update(const upstream_id& upstream) {
+  if (router_ == nullptr) {
+    return;
+  }
+  const upstream_declaration* declared =
+      snapshot_->configuration.Find(upstream);
+  if (declared == nullptr) {
+    if (known_.erase(upstream) > 0) {
+      router_->Handle(router::upstream_removed{upstream});
+    }
+    return;
+  }
+  const vm_id agent = AgentOf(upstream);
+  const agent_state* state = FindEligible(agent);
+  known_.insert(upstream);
+  router_->Handle(router::upstream_changed{
+      upstream, RegionOf(agent, declared->data_centre), declared->data_centre,
+      TargetOf(*declared),
+      state == nullptr ? model_version() : state->load->version,
+      state != nullptr});
+}
+
+}  // namespace fireflyslip
--- /dev/null
+++ b/src/program/upstream_directory.h
@@ -0,0 +1,83 @@
+#ifndef FIREFLYSLIP_PROGRAM_UPSTREAM_DIRECTORY_H_
+#define FIREFLYSLIP_PROGRAM_UPSTREAM_DIRECTORY_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "fireflyslip/link.h"
+#include "fireflyslip/routing.h"
+#include "fireflyslip/runtime.h"
+#include "program/fleet_snapshot.h"
+#include "program/process_context.h"
+#include "program/request_context.h"
+
+namespace fireflyslip {
+
+/// \brief Joins the declared upstreams with their connected agents and routes
+/// requests to them. Used on the traffic thread.
+class upstream_directory {
+ public:
+  upstream_directory(process_context& process, timer_service& timers);
+
+  /// \brief Selects the agent of a request.
+  ///
+  /// A non-idempotent call goes only to the home upstream of its key.
+  /// `excluded` are agents that failed it; they are used if there is no other.
+  /// A `version` restricts the choice to upstreams that serve it. Fails with
+  /// `kNoUpstream` or `kUpstreamLeaving`; nothing is sent then.
+  result<vm_id> Route(const request_context& context,
+                      const std::set<vm_id>& excluded = {},
+                      const std::optional<model_version>& version = {});
+
+  /// \brief Whether a connected upstream of the model serves the version.
+  bool IsServed(const model_name& model, const model_version& version) const;
+
+  /// \brief The attempt ended; `has_failed` if the upstream is at fault.
+  void OnEnded(const request_context& context,
+               const vm_id& agent,
+               bool has_failed);
+
+  /// \brief Incarnation of a connected agent.
+  std::optional<incarnation_number> IncarnationOf(const vm_id& agent) const;
+
+  void OnSnapshot(snapshot_pointer snapshot);
+  void OnAgentConnected(const vm_id& agent, incarnation_number incarnation);
+  void OnAgentLost(const vm_id& agent);
+  void OnLoad(const vm_id& agent, const load_report_message& load);
+  void OnLeaving(const vm_id& agent);
+
+ private:
+  using router = request_router<two_choices_policy>;
+
+  struct agent_state {
+    incarnation_number incarnation = 0;
+    bool leaving = false;
+    std::optional<load_report_message> load;
+  };
+
+  const agent_state* FindEligible(const vm_id& agent) const;
+  bool IsLeaving(const vm_id& agent) const;
+  region_id RegionOf(const vm_id& agent,
+                     const data_centre_id& data_centre) const;
+  void Update(const upstream_id& upstream);
+  result<vm_id> RouteHome(const request_context& context) const;
+  std::optional<vm_id> RouteAny(const request_context& context,
+                                const std::set<vm_id>& excluded,
+                                const std::optional<model_version>& version);
+
+  process_context& process_;
+  timer_service& timers_;
+  snapshot_pointer snapshot_ = std::make_shared<fleet_snapshot>();
+  std::map<vm_id, agent_state> agents_;
+  std::set<upstream_id> known_;  // to the router
+  // Made when the first configuration states the number of entries.
+  std::unique_ptr<core_driver<router>> router_;
+  std::optional<vm_id> routed_;
+};
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_PROGRAM_UPSTREAM_DIRECTORY_H_
