Compute HTTP limits as std::size_t

Cause: clang-tidy reports an implicit widening of an int product in http_server.h for each file that includes it. Ruled out: switching the check off. Change: the first factor is a std::size_t; the limits are the same.

--- a/include/fireflyslip/http/http_server.h
+++ b/include/fireflyslip/http/http_server.h
@@ -38,8 +38,8 @@
 
 /// \brief Bounds of what one client can make the server hold.
 struct http_limits {
-  std::size_t header_bytes = 16 * 1024;
-  std::size_t body_bytes = 1024 * 1024;
+  std::size_t header_bytes = std::size_t{16} * 1024;
+  std::size_t body_bytes = std::size_t{1024} * 1024;
   std::size_t connections = 1024;
   duration idle_timeout = seconds(75);
   /// From the first byte of a request to its last.
