Add control part of the agent: weights, orders and rollouts

Agents beside a model engine ran requests but neither fetched weights nor gave orders. agent_control binds the cores chunk_fetcher, order_sequencer and rollout_controller on the control thread, through weight_distributor, engine_orders and engine_client. Manifests are read along a tree of the peers of the data centre, because a manifest of some megabytes read by 1,400 agents would load the origin like several copies of the weights. admin_server gets handlers that end when the response is sent; without them the number of uploads at a time can't be bounded.

An order for a version that is not staged or that was withdrawn is held back: after an engine restart the sequencer would otherwise order the former version at once, the engine would refuse it, and the version would count as failed.

Ruled out: replica reports every second at all times. At rest they cost more than the control budget of 25 KB/s with 230 peers; they are sent at a change, to each new peer, and every second during a rollout.

--- a/src/program/admin_server.cc
+++ b/src/program/admin_server.cc
@@ -28,6 +28,16 @@
 }
 
 void admin_server::Handle(std::string prefix, handler handle) {
+  HandleStream(
+      std::move(prefix),
+      [handle = std::move(handle)](http_request request,
+                                   response_writer& writer) -> awaitable<void> {
+        http_response response = co_await handle(std::move(request));
+        co_await writer.Send(std::move(response));
+      });
+}
+
+void admin_server::HandleStream(std::string prefix, stream_handler handle) {
   handlers_[std::move(prefix)] = std::move(handle);
 }
 
@@ -40,8 +50,7 @@
                                     response_writer& writer) {
   for (const auto& [prefix, handle] : handlers_) {
     if (request.path().starts_with(prefix)) {
-      http_response response = co_await handle(std::move(request));
-      co_await writer.Send(std::move(response));
+      co_await handle(std::move(request), writer);
       co_return;
     }
   }
--- a/src/program/admin_server.h
+++ b/src/program/admin_server.h
@@ -18,11 +18,17 @@
  public:
   using handler =
       std::function<boost::asio::awaitable<http_response>(http_request)>;
+  /// \brief Handler that ends when its response has been sent, for responses
+  /// whose number at a time is bounded.
+  using stream_handler =
+      std::function<boost::asio::awaitable<void>(http_request,
+                                                 response_writer&)>;
 
   admin_server(boost::asio::io_context& context, process_context& process);
 
   /// \brief Adds a handler for all targets that start with a prefix.
   void Handle(std::string prefix, handler handle);
+  void HandleStream(std::string prefix, stream_handler handle);
 
   result<unsigned short> Listen();
 
@@ -32,7 +38,7 @@
   boost::asio::awaitable<http_response> Events(http_request request);
 
   process_context& process_;
-  std::map<std::string, handler> handlers_;
+  std::map<std::string, stream_handler> handlers_;
   http_server server_;
 };
 
--- a/src/program/agent_daemon.cc
+++ b/src/program/agent_daemon.cc
@@ -1,5 +1,6 @@
 #include <utility>
 
+#include "program/agent_control.h"
 #include "program/agent_traffic.h"
 #include "program/daemon.h"
 #include "program/daemon_host.h"
@@ -14,27 +15,38 @@
              io_thread& thread,
              control_plane& control)
       : thread_(thread),
-        traffic_(thread,
-                 process,
-                 [&control](const vm_id& peer, link_message message) {
-                   control.Send(peer, std::move(message));
-                 }) {}
+        control_thread_(control.thread()),
+        traffic_(thread, process, SendThrough(control)),
+        control_(process,
+                 control.thread(),
+                 control.timers(),
+                 ControlCallbacks(SendThrough(control))) {}
 
-  status Start(admin_server& /*admin*/) {
+  status Start(admin_server& admin) {
     traffic_.Start();
+    control_.AddPaths(admin);
     return std::monostate();
   }
 
   void OnSnapshot(const snapshot_pointer& snapshot) {
+    control_.OnSnapshot(snapshot);
     thread_.Post([this, snapshot] { traffic_.OnSnapshot(snapshot); });
   }
   void OnPeerConnected(const hello_message& peer) {
+    control_thread_.Post([this, peer] { control_.OnPeerConnected(peer); });
     thread_.Post([this, peer] { traffic_.OnPeerConnected(peer); });
   }
   void OnPeerLost(const vm_id& peer) {
+    control_thread_.Post([this, peer] { control_.OnPeerLost(peer); });
     thread_.Post([this, peer] { traffic_.OnPeerLost(peer); });
   }
   void OnMessage(const vm_id& peer, link_message message) {
+    if (agent_control::Handles(message)) {
+      control_thread_.Post([this, peer, message = std::move(message)] {
+        control_.OnMessage(peer, message);
+      });
+      return;
+    }
     thread_.Post([this, peer, message = std::move(message)]() mutable {
       traffic_.OnMessage(peer, std::move(message));
     });
@@ -42,11 +54,32 @@
   void Drain() { traffic_.Drain(); }
   std::size_t InProgress() const { return traffic_.in_progress(); }
   bool IsReady() const { return true; }
-  nlohmann::json StatusFields() const { return nlohmann::json::object(); }
+  nlohmann::json StatusFields() const { return control_.StatusFields(); }
 
  private:
+  static agent_traffic::send_function SendThrough(control_plane& control) {
+    return [&control](const vm_id& peer, link_message message) {
+      control.Send(peer, std::move(message));
+    };
+  }
+
+  agent_control::callbacks ControlCallbacks(agent_traffic::send_function send) {
+    return {
+        std::move(send),
+        [](bool /*accepts*/, const model_version& /*version*/) {},
+        [this](std::function<void(std::size_t)> reply) {
+          thread_.Post([this, reply = std::move(reply)] {
+            reply(traffic_.in_progress());
+          });
+        },
+        [] {},
+    };
+  }
+
   io_thread& thread_;
+  io_thread& control_thread_;
   agent_traffic traffic_;
+  agent_control control_;
 };
 
 }  // namespace
--- /dev/null
+++ b/src/program/engine_orders.h
@@ -0,0 +1,80 @@
+#ifndef FIREFLYSLIP_PROGRAM_ENGINE_ORDERS_H_
+#define FIREFLYSLIP_PROGRAM_ENGINE_ORDERS_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "fireflyslip/orders.h"
+#include "fireflyslip/platform.h"
+#include "fireflyslip/runtime.h"
+#include "program/engine_client.h"
+#include "program/process_context.h"
+
+namespace fireflyslip {
+
+/// \brief Gives the engine its load orders under the fencing token of the
+/// object `fence/UPSTREAM`. Used on the control thread.
+class engine_orders {
+ public:
+  struct callbacks {
+    /// Each answer of the engine about its state.
+    std::function<void(const result<orders::engine_content>& state)> on_state;
+    /// Manifest text of a version that is staged completely, or null.
+    std::function<const std::string*(const orders::engine_content& content)>
+        find_manifest;
+    /// The engine cannot load what it was ordered to.
+    std::function<void(const orders::engine_content& content,
+                       const std::string& reason)>
+        on_failed;
+  };
+
+  /// \brief `checks_fencing` as declared for the upstream.
+  engine_orders(boost::asio::io_context& context,
+                timer_service& timers,
+                process_context& process,
+                engine_client& engine,
+                bool checks_fencing,
+                callbacks handlers);
+
+  /// \brief Orders the engine to load a version until it reports it.
+  void Order(const orders::engine_content& content);
+
+  /// \brief Gives no order until the next `Order()`: the engine keeps what it
+  /// reports.
+  void Withdraw(const orders::engine_content& reported);
+
+  void OnPause();
+
+  /// \brief Version of an order that was sent and not answered.
+  const std::optional<orders::engine_content>& in_flight() const {
+    return in_flight_;
+  }
+
+ private:
+  using driver = core_driver<order_sequencer>;
+
+  void Apply(const order_sequencer::action& action);
+  boost::asio::awaitable<void> ReadFence();
+  boost::asio::awaitable<void> WriteFence(orders::write_fence write);
+  boost::asio::awaitable<void> ReadState();
+  boost::asio::awaitable<void> Send(orders::send_order order);
+  boost::asio::awaitable<void> Hold(std::uint64_t order);
+  void OnReport(const orders::report& report);
+
+  boost::asio::io_context& context_;
+  process_context& process_;
+  engine_client& engine_;
+  callbacks handlers_;
+  object_client platform_;
+  const std::string fence_key_;
+  std::optional<orders::engine_content> permitted_;
+  std::optional<orders::engine_content> in_flight_;
+  driver sequencer_;
+};
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_PROGRAM_ENGINE_ORDERS_H_
