Send the digest of a relayed configuration

The codec left out body_digest of the configuration message, so every receiver refused a relayed body because its digest did not match. A damaged body was ruled out: the same body passes when the platform sends it.

The field is encoded now. A codec test with a digest fails without it.

--- a/src/link/message_fields.h
+++ b/src/link/message_fields.h
@@ -138,8 +138,15 @@
 }
 
 template <typename Message, typename Visitor>
-requires same_message<Message, configuration_message> ||
-    same_message<Message, members_message>
+requires same_message<Message, configuration_message>
+void VisitFields(Message& m, Visitor&& visit) {
+  visit("revision", m.revision);
+  visit("body", m.body);
+  visit("body_digest", m.body_digest);
+}
+
+template <typename Message, typename Visitor>
+requires same_message<Message, members_message>
 void VisitFields(Message& m, Visitor&& visit) {
   visit("revision", m.revision);
   visit("body", m.body);
--- a/tests/link/codec_test.cc
+++ b/tests/link/codec_test.cc
@@ -30,6 +30,15 @@
   EXPECT_EQ(ValueOf(decoded), AttemptEnvelope());
 }
 
+// Guards against a relayed configuration without its digest, which every
+// receiver would refuse.
+TEST_F(codec_test, Decode_EncodedConfiguration_RestoresDigest) {
+  const link_envelope sent{1, 2, configuration_message{7, "{}", "ab12"}};
+  const auto decoded = DecodeEnvelope(EncodeEnvelope(sent));
+  ASSERT_TRUE(IsOk(decoded));
+  EXPECT_EQ(ValueOf(decoded), sent);
+}
+
 // Guards against an out-of-range enumerator from a peer of another version.
 TEST_F(codec_test, Decode_EnumeratorOutOfRange_FailsWithProtocolError) {
   fate_message fate;
