Add seed peers to the process settings

A process that starts during an outage of the platform has no VM list and thus no peer that could send it the configuration. An optional list of peers names link and admin addresses in the form of the VM list.

The parser reports the JSON path of each faulty peer.

--- a/include/fireflyslip/contract/process_settings.h
+++ b/include/fireflyslip/contract/process_settings.h
@@ -33,6 +33,17 @@
   bool operator==(const tls_settings&) const = default;
 };
 
+/// \brief A process to which this one links until it knows a VM list.
+struct seed_peer {
+  vm_id vm;
+  process_role role = process_role::kEntry;
+  data_centre_id data_centre;
+  endpoint link;
+  endpoint admin;
+
+  auto operator<=>(const seed_peer&) const = default;
+};
+
 /// \brief Settings of one process.
 struct process_settings {
   process_role role = process_role::kEntry;
@@ -45,6 +56,9 @@
   endpoint link;
   endpoint admin;
   endpoint platform;
+  /// Lets a process that starts during an outage of the platform find its
+  /// peers, which know the VM list and the configuration.
+  std::vector<seed_peer> peers;
   std::string shared_key;
   tls_settings tls;
   milliseconds drain_timeout{60000};
--- a/src/contract/process_settings.cc
+++ b/src/contract/process_settings.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -40,6 +41,65 @@
   return value;
 }
 
+// Reads text of the form `ADDRESS:PORT`, with an IPv6 address unbracketed as in
+// the platform's VM list.
+endpoint ReadEndpointText(object_reader& parent, std::string_view name) {
+  const std::optional<std::string> text = parent.Text(name, true);
+  if (!text.has_value()) {
+    return {};
+  }
+  const std::size_t colon = text->rfind(':');
+  endpoint value;
+  value.address = text->substr(0, colon);
+  const char* end = text->data() + text->size();
+  const char* begin = colon == std::string::npos ? end : &(*text)[colon] + 1;
+  const auto [position, code] = std::from_chars(begin, end, value.port);
+  if (code != std::errc() || position != end || value.port == 0 ||
+      !IsIpAddress(value.address)) {
+    parent.Report(kInvalidValue, name, "must be \"IP:PORT\"");
+  }
+  return value;
+}
+
+seed_peer ReadPeer(object_reader reader) {
+  seed_peer peer;
+  peer.vm = vm_id(reader.Name("vm", true).value_or(""));
+  peer.data_centre =
+      data_centre_id(reader.Name("data_centre", true).value_or(""));
+  const std::string role = reader.Text("role", true).value_or("entry");
+  if (const auto parsed = ParseProcessRole(role)) {
+    peer.role = *parsed;
+  } else {
+    reader.Report(kInvalidValue, "role", "must be \"entry\" or \"agent\"");
+  }
+  peer.link = ReadEndpointText(reader, "link");
+  peer.admin = ReadEndpointText(reader, "admin");
+  reader.Finish();
+  return peer;
+}
+
+std::vector<seed_peer> ReadPeers(object_reader& parent,
+                                 std::vector<finding>& findings) {
+  std::vector<seed_peer> peers;
+  const json* list = parent.Field("peers", false);
+  if (list == nullptr) {
+    return peers;
+  }
+  if (!list->is_array()) {
+    parent.Report(kWrongType, "peers", "must be an array");
+    return peers;
+  }
+  for (const json& item : *list) {
+    const std::string path = "$.peers[" + std::to_string(peers.size()) + "]";
+    if (!item.is_object()) {
+      findings.push_back({kWrongType, path, "must be an object"});
+      return peers;
+    }
+    peers.push_back(ReadPeer(object_reader(item, path, findings)));
+  }
+  return peers;
+}
+
 tls_settings ReadTls(object_reader reader) {
   tls_settings tls;
   const std::string mode = reader.Text("mode", true).value_or("off");
@@ -132,6 +192,7 @@
   settings.admin = ReadEndpoint(reader, "admin", true).value_or(endpoint());
   settings.platform =
       ReadEndpoint(reader, "platform", true).value_or(endpoint());
+  settings.peers = ReadPeers(reader, findings);
   settings.shared_key = reader.Text("shared_key", true).value_or("");
   if (std::optional<object_reader> tls = reader.Object("tls", true)) {
     settings.tls = ReadTls(*std::move(tls));
--- a/tests/contract/contract_test.cc
+++ b/tests/contract/contract_test.cc
@@ -210,6 +210,36 @@
           IsFinding(finding_kind::kInvalidValue, "$.admin.port")));
 }
 
+// Guards against seed peers that cannot be dialled and against a malformed list
+// that is taken for an empty one.
+TEST_F(process_settings_test, Parse_Peers_ReportsFaultyPeers) {
+  json document = ValidSettings();
+  const json peer = {{"vm", "akl-a1"},
+                     {"role", "agent"},
+                     {"data_centre", "akl"},
+                     {"link", "127.0.0.1:9081"},
+                     {"admin", "127.0.0.1:9181"}};
+  document["peers"] = {peer};
+  const auto parsed = ParseSettings(document.dump());
+  ASSERT_TRUE(IsOk(parsed)) << ErrorOf(parsed).detail;
+  EXPECT_EQ(ValueOf(parsed).peers[0].role, process_role::kAgent);
+  EXPECT_EQ(ValueOf(parsed).peers[0].link, (endpoint{"127.0.0.1", 9081}));
+  for (const char* link : {"", "9081", "host:1", "127.0.0.1:", "127.0.0.1:0",
+                           "127.0.0.1:65536", "127.0.0.1:1x"}) {
+    document["peers"][0]["link"] = link;
+    EXPECT_THAT(
+        CheckSettings(document.dump()),
+        Contains(IsFinding(finding_kind::kInvalidValue, "$.peers[0].link")))
+        << link;
+  }
+  document["peers"] = {7};
+  EXPECT_THAT(CheckSettings(document.dump()),
+              Contains(IsFinding(finding_kind::kWrongType, "$.peers[0]")));
+  document["peers"] = "akl-a1";
+  EXPECT_THAT(CheckSettings(document.dump()),
+              Contains(IsFinding(finding_kind::kWrongType, "$.peers")));
+}
+
 // Guards against exceptions and crashes on malformed documents: some bytes of a
 // valid document are changed, removed or doubled, or a value is replaced.
 RC_GTEST_FIXTURE_PROP(process_settings_test,
