Bind configuration, membership and pause cores to the control thread

Every process polled the platform for the configuration and the VM list, so that calls grew with the fleet, and a process without the platform learned nothing. Pauses and silent links were not noticed.

The control plane now drives configuration_relay and member_table through the timer service. Two watchers of each data centre watch the platform; others pull both documents from one peer whose heartbeat names a higher revision. A members message without text requests the VM list. Silent links are closed and dialled again.

A rule by ring place for who dials was ruled out, because a pair can be in two rings and its two links would replace each other.

The sources of the program form a library, so that tests can link them. Three control planes over loopback, one of which reaches the platform, converge on configuration and members in the test.

--- a/include/fireflyslip/link/messages.h
+++ b/include/fireflyslip/link/messages.h
@@ -144,7 +144,8 @@
   auto operator<=>(const configuration_request_message&) const = default;
 };
 
-/// \brief The platform's VM list as last read; `body` is its JSON text.
+/// \brief The platform's VM list as last read; `body` is its JSON text. An
+/// empty body requests a list with a higher revision.
 struct members_message {
   std::uint64_t revision = 0;
   std::string body;
--- a/src/program/daemon_host.h
+++ b/src/program/daemon_host.h
@@ -19,8 +19,9 @@
 
 /// \brief What distinguishes an entry from an agent.
 ///
-/// `OnSnapshot()` runs on the control thread, the other `On` functions on the
-/// link thread; `Drain()` and `InProgress()` on the traffic thread.
+/// `OnSnapshot()` and `OnPause()` run on the control thread, the other `On`
+/// functions on the link thread; `Drain()` and `InProgress()` on the traffic
+/// thread.
 template <typename Role>
 concept daemon_role = requires(Role role,
                                const Role& view,
@@ -31,6 +32,7 @@
                                admin_server& admin) {
   { role.Start(admin) } -> std::same_as<status>;
   role.OnSnapshot(snapshot);
+  role.OnPause();
   role.OnPeerConnected(hello);
   role.OnPeerLost(peer);
   role.OnMessage(peer, std::move(message));
@@ -62,6 +64,7 @@
                      [this](const vm_id& peer, link_message message) {
                        role_.OnMessage(peer, std::move(message));
                      },
+                     [this] { role_.OnPause(); },
                  }),
         role_(process_, traffic_thread_, control_),
         admin_(control_.thread().context(), process_) {
--- a/src/program/fleet_snapshot.h
+++ b/src/program/fleet_snapshot.h
@@ -21,7 +21,10 @@
   process_role role = process_role::kEntry;
   http_endpoint link;
   http_endpoint admin;
+  /// Announced by the VM or by the VM list, whichever came first.
   bool leaving = false;
+  /// The link to it is open and recent, and it does not leave.
+  bool eligible = false;
 
   auto operator<=>(const fleet_member&) const = default;
 };
@@ -32,6 +35,9 @@
 struct fleet_snapshot {
   std::uint64_t revision = 0;  ///< 0 until a configuration is known.
   fireflyslip::configuration configuration;
+  std::uint64_t members_revision = 0;  ///< 0 until a VM list is known.
+  /// Members of the VM list, or the seed peers until a list is known. A member
+  /// that the list dropped stays, as leaving, while its link is open.
   fleet_members members;
 };
 
