--- /dev/null
+++ b/tests/process/blocking_client.h
@@ -0,0 +1,33 @@
+#ifndef FIREFLYSLIP_TESTS_PROCESS_BLOCKING_CLIENT_H_
+#define FIREFLYSLIP_TESTS_PROCESS_BLOCKING_CLIENT_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace fireflyslip::testing {
+
+using http_fields = std::map<std::string, std::string>;
+
+/// \brief A response, as far as it arrived.
+struct http_answer {
+  int status = 0;       ///< 0 if no response head arrived.
+  std::string outcome;  ///< Field `X-Outcome`.
+  std::string body;
+  bool is_complete = false;  ///< The response ended as HTTP prescribes.
+};
+
+/// \brief Sends one request on a connection of its own to a port of the
+/// loopback address and waits for the response, at most 60 s for each step.
+http_answer SendRequest(std::uint16_t port,
+                        const std::string& method,
+                        const std::string& target,
+                        const std::string& body = "",
+                        const http_fields& fields = {});
+
+/// \brief A port of the loopback address that was free just now.
+std::uint16_t FreePort();
+
+}  // namespace fireflyslip::testing
+
+#endif  // FIREFLYSLIP_TESTS_PROCESS_BLOCKING_CLIENT_H_
