--- a/tests/process/process_fleet.cc
+++ b/tests/process/process_fleet.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -23,7 +24,6 @@
 constexpr std::chrono::seconds kWaitLimit{60};
 constexpr std::chrono::milliseconds kPollInterval{20};
 constexpr char kCallerKey[] = "caller-key";
-constexpr char kLongDeadlineMs[] = "60000";
 
 json Endpoint(std::uint16_t port) {
   return {{"address", "127.0.0.1"}, {"port", port}};
@@ -248,6 +248,7 @@
   for (const auto& [vm, ports] : ports_) {
     if (!IsEntry(vm)) {
       RestartUpstream(vm);
+      WaitUntilListening(ports.upstream);
     }
     if (ports.link_relay_admin != 0) {
       StartRelay(vm + "-link-relay", ports.public_link, ports.link,
@@ -288,6 +289,12 @@
   WaitUntilListening(ports_.at(vm).admin);
 }
 
+int process_fleet::Terminate(const std::string& vm) {
+  process(vm).Signal(SIGTERM);
+  WaitUntil(vm + " has exited", [&] { return !process(vm).IsRunning(); });
+  return process(vm).Wait();
+}
+
 void process_fleet::RestartUpstream(const std::string& vm) {
   const std::uint16_t port = ports_.at(vm).upstream;
   std::vector<std::string> command = {FIREFLYSLIP_STANDIN};
@@ -308,7 +315,6 @@
   const std::string name = UpstreamName(vm);
   processes_[name] =
       std::make_unique<child_process>(command, File(name + ".log"));
-  WaitUntilListening(port);
 }
 
 void process_fleet::WaitUntilListening(std::uint16_t port) const {
@@ -343,7 +349,8 @@
 http_answer process_fleet::Complete(const std::string& entry,
                                     const std::string& prompt,
                                     int tokens,
-                                    bool stream) const {
+                                    bool stream,
+                                    int deadline_ms) const {
   const json message = {{"role", "user"}, {"content", prompt}};
   const json body = {{"model", "cue"},
                      {"messages", json::array({message})},
@@ -352,16 +359,17 @@
   return SendRequest(ports_.at(entry).listen, "POST", "/v1/chat/completions",
                      body.dump(),
                      {{"Authorization", std::string("Bearer ") + kCallerKey},
-                      {"X-Deadline-Ms", kLongDeadlineMs}});
+                      {"X-Deadline-Ms", std::to_string(deadline_ms)}});
 }
 
 http_answer process_fleet::Book(const std::string& entry,
-                                const std::string& key) const {
+                                const std::string& key,
+                                int deadline_ms) const {
   return SendRequest(ports_.at(entry).listen, "POST",
                      "/services/bookings/bookings", "{}",
                      {{"Authorization", std::string("Bearer ") + kCallerKey},
                       {"Idempotency-Key", key},
-                      {"X-Deadline-Ms", kLongDeadlineMs}});
+                      {"X-Deadline-Ms", std::to_string(deadline_ms)}});
 }
 
 std::future<http_answer> process_fleet::StartComplete(const std::string& entry,
@@ -372,11 +380,12 @@
   });
 }
 
-std::future<http_answer> process_fleet::StartBook(
-    const std::string& entry,
-    const std::string& key) const {
-  return std::async(std::launch::async,
-                    [this, entry, key] { return Book(entry, key); });
+std::future<http_answer> process_fleet::StartBook(const std::string& entry,
+                                                  const std::string& key,
+                                                  int deadline_ms) const {
+  return std::async(std::launch::async, [this, entry, key, deadline_ms] {
+    return Book(entry, key, deadline_ms);
+  });
 }
 
 json process_fleet::Admin(const std::string& vm,
--- a/tests/process/process_fleet.h
+++ b/tests/process/process_fleet.h
@@ -52,20 +52,29 @@
   }
   /// \brief Starts the entry or agent of a VM again after its end.
   void Restart(const std::string& vm);
-  /// \brief Starts the engine or service of a VM again after its end.
+  /// \brief Starts the engine or service of a VM again after its end, without
+  /// waiting until it listens.
   void RestartUpstream(const std::string& vm);
 
+  /// \brief Sends SIGTERM to the entry or agent of a VM, waits for its end and
+  /// returns its exit code.
+  int Terminate(const std::string& vm);
+
   // Requests of the only workspace.
   http_answer Complete(const std::string& entry,
                        const std::string& prompt,
                        int tokens,
-                       bool stream = true) const;
-  http_answer Book(const std::string& entry, const std::string& key) const;
+                       bool stream = true,
+                       int deadline_ms = 60'000) const;
+  http_answer Book(const std::string& entry,
+                   const std::string& key,
+                   int deadline_ms = 60'000) const;
   std::future<http_answer> StartComplete(const std::string& entry,
                                          const std::string& prompt,
                                          int tokens) const;
   std::future<http_answer> StartBook(const std::string& entry,
-                                     const std::string& key) const;
+                                     const std::string& key,
+                                     int deadline_ms = 60'000) const;
 
   // Observation.
   /// \brief GET on the admin port of a VM; null without an answer.
