--- a/src/program/entry_daemon.cc
+++ b/src/program/entry_daemon.cc
@@ -25,7 +25,6 @@
   void OnSnapshot(const snapshot_pointer& snapshot) {
     thread_.Post([this, snapshot] { traffic_.OnSnapshot(snapshot); });
   }
-  void OnPause() {}
   void OnPeerConnected(const hello_message& peer) {
     thread_.Post([this, peer] { traffic_.OnPeerConnected(peer); });
   }
