--- a/src/program/main.cc
+++ b/src/program/main.cc
@@ -1,34 +1,34 @@
 #include <CLI/CLI.hpp>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <optional>
 #include <string>
 
 #include "fireflyslip/contract.h"
 #include "fireflyslip/runtime.h"
+#include "program/apply_command.h"
+#include "program/check_command.h"
 #include "program/daemon.h"
+#include "program/get_command.h"
+#include "program/operator_client.h"
+#include "program/status_command.h"
+#include "program/timeline_command.h"
 
 namespace fireflyslip {
 namespace {
 
-constexpr int kExitInvalid = 2;
-
 /// \brief Reads settings for a role; writes each fault to standard error.
 std::optional<process_settings> ReadSettings(const std::string& file,
                                              process_role role) {
-  std::ifstream input(file);
-  if (!input) {
+  const std::optional<std::string> text = ReadFile(file);
+  if (!text) {
     std::cerr << "cannot read " << file << "\n";
     return std::nullopt;
   }
-  const std::string text((std::istreambuf_iterator<char>(input)),
-                         std::istreambuf_iterator<char>());
-  const std::vector<finding> findings = CheckSettings(text, role);
+  const std::vector<finding> findings = CheckSettings(*text, role);
   for (const finding& fault : findings) {
     std::cerr << file << ": " << fault.path << ": " << fault.reason << "\n";
   }
-  result<process_settings> settings = ParseSettings(text, role);
+  result<process_settings> settings = ParseSettings(*text, role);
   if (!IsOk(settings)) {
     return std::nullopt;
   }
@@ -59,11 +59,21 @@
   agent->add_option("--settings", settings_file, "Settings file (JSON)")
       ->required();
 
+  int exit_code = 0;
+  AddCheckCommand(app, exit_code);
+  AddApplyCommand(app, exit_code);
+  AddGetCommand(app, exit_code);
+  AddStatusCommand(app, exit_code);
+  AddTimelineCommand(app, exit_code);
+
   CLI11_PARSE(app, argc, argv);
   if (entry->parsed()) {
     return RunDaemon(settings_file, process_role::kEntry);
   }
-  return RunDaemon(settings_file, process_role::kAgent);
+  if (agent->parsed()) {
+    return RunDaemon(settings_file, process_role::kAgent);
+  }
+  return exit_code;
 }
 
 }  // namespace
