Bind ledger, scheduler and claim journals to the agent's traffic thread

The thin agent ran each attempt at once: no queue, no kept answers, no claims, so a retried booking ran twice.

An attempt counts as running for the ledger from its claim on, because a cancel must not be answered by not_run while an update may make the claim durable. claim_journals holds one core for each slot whose home the agent is by its configuration. A booking's call is not ended at the entry's deadline: a call that is given up would be unknown for ever. A draining agent reports at least one attempt in progress until its grace of 3 s is over; otherwise it would exit while attempts are on their way. Floors are the mean of the contracts by weight.

Ruled out: claims before the queue, because a claim whose attempt the queue refuses costs two platform writes.

--- /dev/null
+++ b/src/program/agent_policy.h
@@ -0,0 +1,23 @@
+#ifndef FIREFLYSLIP_PROGRAM_AGENT_POLICY_H_
+#define FIREFLYSLIP_PROGRAM_AGENT_POLICY_H_
+
+#include <cstddef>
+
+#include "fireflyslip/contract.h"
+#include "fireflyslip/scheduling.h"
+
+namespace fireflyslip {
+
+/// \brief Scheduling policy of one upstream from the contracts of all
+/// workspaces.
+///
+/// The floor of a rank is the mean of the workspaces' floors, weighted by their
+/// contract weights, because each floor is a share of the service that its
+/// workspace gets. Floors that sum to more than 1 are scaled down to 1. The
+/// target of a rank is the shortest one of any workspace.
+scheduling_policy MakeSchedulingPolicy(const configuration& contracts,
+                                       std::size_t slots);
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_PROGRAM_AGENT_POLICY_H_
--- a/src/program/agent_traffic.cc
+++ b/src/program/agent_traffic.cc
@@ -1,13 +1,61 @@
 #include "program/agent_traffic.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <utility>
 
+#include "program/agent_policy.h"
+
 namespace fireflyslip {
 namespace {
 
 using boost::asio::awaitable;
+using delivery::attempt_end;
+using delivery::entry_id;
+
+/// Entries may send work until they have seen the leaving notice.
+constexpr seconds kLeavingGrace{3};
+
+/// Least time that the call of a booking gets. A call that is given up is
+/// `unknown` for ever, so it is not ended at the entry's deadline.
+constexpr seconds kBookingCallTime{30};
+
+/// A call to a plain service counts as one token.
+constexpr std::uint64_t kServiceTokens = 1;
+
+attempt_fate ToMessageFate(delivery::fate_state state) {
+  switch (state) {
+    case delivery::fate_state::kQueued:
+      return attempt_fate::kQueued;
+    case delivery::fate_state::kRunning:
+      return attempt_fate::kRunning;
+    case delivery::fate_state::kRefused:
+      return attempt_fate::kRefused;
+    case delivery::fate_state::kCompleted:
+      return attempt_fate::kCompleted;
+    case delivery::fate_state::kUnknown:
+      break;
+  }
+  return attempt_fate::kUnknown;
+}
+
+answer_end_message ToMessage(const delivery::send_end& action) {
+  answer_end_message message;
+  message.attempt = action.attempt;
+  message.parts = action.end.parts;
+  message.http_status = action.end.status;
+  message.content_type = action.end.content_type;
+  message.failed = action.end.kind.has_value();
+  message.problem = action.end.kind.value_or(error_kind::kInternalError);
+  message.detail = action.end.detail;
+  message.conclusion = action.end.result;
+  return message;
+}
+
+std::string NameOf(error_kind kind) {
+  return std::string(AnswerFor(kind).name);
+}
 
 }  // namespace
 
@@ -18,7 +66,28 @@
       process_(process),
       send_(std::move(send)),
       timers_(thread.context()),
-      client_(thread.context()) {}
+      client_(thread.context()),
+      ledger_(attempt_ledger(),
+              timers_,
+              [this](const attempt_ledger::action& action) { Apply(action); }),
+      scheduler_(
+          request_scheduler(
+              MakeSchedulingPolicy({}, process.settings().upstream_slots)),
+          timers_,
+          [this](const request_scheduler::action& action) { Apply(action); }),
+      journals_(
+          thread.context(),
+          process,
+          timers_,
+          {
+              [this](const attempt_id& attempt) { RunUpstream(attempt); },
+              [this](const attempt_id& attempt, const stored_answer& answer) {
+                OnClaimAnswer(attempt, answer);
+              },
+              [this](const attempt_id& attempt, const error& refusal) {
+                OnClaimRefused(attempt, refusal);
+              },
+          }) {}
 
 void agent_traffic::Start() {
   timers_.SubscribePeriodic(process_.settings().load_report_interval,
@@ -26,18 +95,51 @@
 }
 
 void agent_traffic::Drain() {
-  draining_ = true;
+  if (!draining_since_) {
+    draining_since_ = MonotonicNow();
+    SendLoad();
+  }
 }
 
-void agent_traffic::OnPeerConnected(const hello_message& peer) {
-  if (peer.role == ToString(process_role::kEntry)) {
-    entries_.insert(peer.vm);
+std::size_t agent_traffic::in_progress() const {
+  const std::size_t open = attempts_.size() + ledger_.core().kept_answers();
+  const bool in_grace = draining_since_ && !refuses_new_work();
+  return in_grace ? std::max<std::size_t>(open, 1) : open;
+}
+
+void agent_traffic::OnSnapshot(snapshot_pointer snapshot) {
+  const bool changed = snapshot->revision > snapshot_->revision;
+  const bool accepted = accepts_work();
+  snapshot_ = std::move(snapshot);
+  if (changed) {
+    request_scheduler::policy_changed event;
+    event.policy = MakeSchedulingPolicy(snapshot_->configuration,
+                                        process_.settings().upstream_slots);
+    scheduler_.Handle(event);
+    journals_.OnSnapshot(*snapshot_);
+  }
+  if (accepts_work() != accepted) {
     SendLoad();
   }
 }
 
+void agent_traffic::OnPeerConnected(const hello_message& peer) {
+  if (peer.role != ToString(process_role::kEntry)) {
+    return;
+  }
+  OnPeerLost(peer.vm);
+  entries_[peer.vm] = peer.incarnation;
+  ledger_.Handle(delivery::link_resumed{entry_id{peer.vm, peer.incarnation}});
+  SendLoad();
+}
+
 void agent_traffic::OnPeerLost(const vm_id& peer) {
-  entries_.erase(peer);
+  const auto found = entries_.find(peer);
+  if (found != entries_.end()) {
+    const entry_id entry{peer, found->second};
+    entries_.erase(found);
+    ledger_.Handle(delivery::link_lost{entry});
+  }
 }
 
 void agent_traffic::OnMessage(const vm_id& peer, link_message message) {
@@ -45,72 +147,462 @@
                  [&](attempt_message& attempt) {
                    OnAttempt(peer, std::move(attempt));
                  },
-                 [&](cancel_message& cancel) {
-                   const auto found = running_.find(cancel.attempt);
-                   if (found != running_.end()) {
-                     found->second.call->Cancel();
-                   }
+                 [&](const cancel_message& cancel) {
+                   Record(event_kind::kAttemptCancelled, cancel.attempt);
+                   ledger_.Handle(delivery::cancel{cancel.attempt});
                  },
-                 [](auto&) {},
+                 [&](const acknowledge_message& acknowledge) {
+                   ledger_.Handle(delivery::acknowledged{acknowledge.attempt});
+                 },
+                 [&](const query_fate_message& query) {
+                   ledger_.Handle(delivery::fate_queried{query.attempt});
+                 },
+                 [](const auto&) {},
              },
              message);
 }
 
 void agent_traffic::OnAttempt(const vm_id& entry, attempt_message message) {
   const attempt_id id = message.attempt;
-  if (running_.contains(id)) {
+  const workspace_id workspace = message.workspace;
+  if (id.request.vm != entry) {
+    // The answer would go to an entry that did not ask.
+    process_.Record(event_kind::kAttemptDropped,
+                    {{"cause", "foreign_id"}, {"entry", entry.value()}},
+                    id.request, workspace);
+    return;
+  }
+  process_.Record(event_kind::kAttemptReceived,
+                  {{"attempt", std::to_string(id.number)}}, id.request,
+                  workspace);
+  const std::uint64_t offset = message.resume_offset;
+  arriving_ = std::move(message);
+  ledger_.Handle(delivery::attempt_arrived{id, offset});
+  if (arriving_) {
+    arriving_.reset();
+    process_.Record(
+        event_kind::kAttemptDropped,
+        {{"cause", "duplicate"}, {"attempt", std::to_string(id.number)}},
+        id.request, workspace);
+  }
+}
+
+std::optional<error> agent_traffic::FindRefusal(
+    const attempt_message& message) const {
+  if (refuses_new_work()) {
+    return error{error_kind::kUpstreamLeaving, "the upstream is leaving"};
+  }
+  if (snapshot_->revision == 0) {
+    return error{error_kind::kNoUpstream, "no configuration is known yet"};
+  }
+  const upstream_declaration* declared = snapshot_->configuration.Find(
+      upstream_id(process_.settings().vm.value()));
+  const bool matches =
+      declared == nullptr ||
+      (message.model.empty() ? declared->service == message.service
+                             : declared->model == message.model);
+  if (!matches) {
+    return error{error_kind::kNoUpstream,
+                 "the upstream serves another model or service"};
+  }
+  if (!message.model.empty() && !accepts_model_work_) {
+    return error{error_kind::kNoUpstream, "the engine takes no requests now"};
+  }
+  return std::nullopt;
+}
+
+void agent_traffic::Admit(const attempt_id& attempt) {
+  attempt_message message = *std::exchange(arriving_, std::nullopt);
+  // An entry may not have seen yet that the call must not be repeated.
+  const bool needs_claim = message.model.empty() &&
+                           (message.non_idempotent ||
+                            snapshot_->configuration.IsNonIdempotent(
+                                message.service, message.method, message.path));
+  std::optional<error> refusal = FindRefusal(message);
+  if (!refusal && needs_claim && message.key.empty()) {
+    refusal = error{error_kind::kIdempotencyKeyRequired,
+                    "the call is declared as non-idempotent"};
+  }
+  if (refusal) {
+    process_.Record(event_kind::kAttemptRefused,
+                    {{"error", NameOf(refusal->kind)}}, attempt.request,
+                    message.workspace);
+    ledger_.Handle(
+        delivery::refuse_attempt{attempt, refusal->kind, refusal->detail});
     return;
   }
+  open_attempt& open = attempts_[attempt];
+  open.message = std::make_shared<attempt_message>(std::move(message));
+  open.arrival = MonotonicNow();
+  open.deadline = open.arrival + milliseconds(open.message->deadline_ms);
+  open.needs_claim = needs_claim;
+  request_scheduler::enqueue event;
+  event.attempt = attempt;
+  event.workspace = open.message->workspace;
+  event.weight = open.message->weight > 0 ? open.message->weight : 1;
+  event.rank = open.message->rank;
+  event.deadline = open.deadline;
+  event.cost_tokens =
+      open.message->model.empty()
+          ? kServiceTokens
+          : std::max<std::uint64_t>(open.message->estimated_tokens, 1);
+  event.resumable = !open.message->model.empty();
+  event.suspect = open.message->suspect;
+  Record(event_kind::kAttemptQueued, attempt);
+  scheduler_.Handle(std::move(event));
+}
+
+void agent_traffic::StartAttempt(const attempt_id& attempt) {
+  open_attempt& open = attempts_.at(attempt);
+  process_.metrics().ObserveSeconds(
+      "fireflyslip_queue_seconds",
+      {{"rank", std::string(ToString(open.message->rank))}},
+      ToSeconds(MonotonicNow() - open.arrival));
+  if (!open.was_started) {
+    open.was_started = true;
+    ledger_.Handle(delivery::run_started{attempt});
+  } else {
+    Record(event_kind::kAttemptResumed, attempt,
+           {{"offset", std::to_string(open.message->resume_offset)}});
+  }
+  if (open.needs_claim) {
+    open.at = stage::kClaiming;
+    // A refusal during the call removes the attempt from the map.
+    const std::shared_ptr<attempt_message> message = open.message;
+    journals_.Claim(*message, open.deadline);
+  } else {
+    RunUpstream(attempt);
+  }
+}
+
+void agent_traffic::RunUpstream(const attempt_id& attempt) {
+  open_attempt& open = attempts_.at(attempt);
   const endpoint& upstream = *process_.settings().upstream;
-  process_.Record(event_kind::kAttemptReceived, {{"entry", entry.value()}},
-                  id.request, message.workspace);
-  running_[id] = {entry, std::move(message), 0,
-                  std::make_unique<upstream_call>(
-                      client_, http_endpoint{upstream.address, upstream.port})};
-  boost::asio::co_spawn(thread_.context(), Run(id), boost::asio::detached);
-}
-
-awaitable<void> agent_traffic::Run(attempt_id attempt) {
-  running_attempt& running = running_.at(attempt);
-  const attempt_message& message = running.message;
-  const auto on_part = [this, &running](const model_version& version,
-                                        std::string data) {
-    send_(running.entry,
-          answer_part_message{running.message.attempt, running.parts++, version,
-                              std::move(data)});
-  };
-  const result<upstream_result> ended = co_await running.call->Run(
-      message, milliseconds(message.deadline_ms), on_part);
-  answer_end_message end;
-  end.attempt = attempt;
+  open.at = stage::kRunning;
+  open.parts = 0;
+  open.crashed = false;
+  open.call = std::make_shared<upstream_call>(
+      client_, http_endpoint{upstream.address, upstream.port});
+  time_point deadline = open.deadline;
+  if (open.needs_claim) {
+    Record(event_kind::kClaimWritten, attempt);
+    deadline = std::max(deadline, MonotonicNow() + kBookingCallTime);
+  }
+  Record(event_kind::kAttemptStarted, attempt);
+  boost::asio::co_spawn(thread_.context(),
+                        Run(attempt, open.message, open.call, deadline),
+                        boost::asio::detached);
+}
+
+awaitable<void> agent_traffic::Run(attempt_id attempt,
+                                   std::shared_ptr<attempt_message> message,
+                                   std::shared_ptr<upstream_call> call,
+                                   time_point deadline) {
+  const upstream_call::part_function on_part =
+      [this, &attempt](const model_version& version, std::string data) {
+        ++attempts_.at(attempt).parts;
+        version_ = version;
+        ledger_.Handle(delivery::part_made{attempt, version, std::move(data)});
+        attempts_.at(attempt).message->resume_version = version;
+      };
+  const result<upstream_result> ended =
+      co_await call->Run(*message, deadline, on_part);
+  EndRun(attempt, ended);
+}
+
+void agent_traffic::EndRun(const attempt_id& attempt,
+                           const result<upstream_result>& ended) {
+  open_attempt& open = attempts_.at(attempt);
+  if (open.needs_claim) {
+    journals_.Finish(attempt, ended);
+    Complete(attempt, kServiceTokens);
+    return;
+  }
+  if (open.call->connection_lost()) {
+    ReportCrash();
+  }
+  attempt_message& message = *open.message;
+  const std::uint64_t parts = open.parts;
+  message.resume_offset += parts;
   if (IsOk(ended)) {
-    const upstream_result& answer = ValueOf(ended);
-    if (message.model.empty()) {
-      on_part({}, answer.body);
+    ReportAnswer(attempt, ValueOf(ended));
+  } else if (open.preempting) {
+    open.preempting = false;
+    open.was_preempted = true;
+    open.at = stage::kQueued;
+    open.call.reset();
+    Record(event_kind::kAttemptPreempted, attempt,
+           {{"parts", std::to_string(parts)}});
+    scheduler_.Handle(request_scheduler::preempted_stopped{attempt, parts});
+    return;
+  } else {
+    error failure = ErrorOf(ended);
+    if (open.crashed) {
+      failure = error{error_kind::kUpstreamFailed, "the engine crashed"};
     }
-    end.http_status = answer.http_status;
-    end.content_type = answer.content_type;
+    // An earlier run or part rules out `not_run`, whatever ended this one.
+    const bool ran_before = open.was_preempted || parts > 0;
+    ReportFailure(attempt, failure,
+                  ran_before ? outcome::kUnknown
+                             : AnswerFor(failure.kind).default_outcome);
+  }
+  Complete(attempt, message.model.empty() ? kServiceTokens : parts);
+}
+
+void agent_traffic::StopAttempt(const attempt_id& attempt) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  open_attempt& open = found->second;
+  switch (open.at) {
+    case stage::kQueued: {
+      const bool was_started = open.was_started;
+      attempts_.erase(found);
+      scheduler_.Handle(request_scheduler::cancelled{attempt});
+      if (was_started) {
+        ReportFailure(attempt, error{error_kind::kOutcomeUnknown, "cancelled"},
+                      outcome::kUnknown);
+      }
+      break;
+    }
+    case stage::kClaiming:
+      journals_.Abandon(attempt);
+      break;
+    case stage::kRunning:
+      // The answer of a booking is recorded for duplicates.
+      if (!open.needs_claim) {
+        open.preempting = false;
+        open.call->Cancel();
+      }
+      break;
+  }
+}
+
+void agent_traffic::PreemptAttempt(const attempt_id& attempt) {
+  open_attempt& open = attempts_.at(attempt);
+  if (open.call != nullptr) {
+    open.preempting = true;
+    open.call->Cancel();
+  }
+}
+
+void agent_traffic::RefuseQueued(const request_scheduler::refuse& refusal) {
+  Record(event_kind::kAttemptRefused, refusal.attempt,
+         {{"error", NameOf(refusal.kind)}});
+  attempts_.erase(refusal.attempt);
+  if (refusal.was_started) {
+    ReportFailure(refusal.attempt,
+                  error{refusal.kind, "stopped and not resumed in time"},
+                  outcome::kUnknown);
   } else {
-    end.failed = true;
-    end.problem = ErrorOf(ended).kind;
-    end.detail = ErrorOf(ended).detail;
-    end.conclusion = AnswerFor(end.problem).default_outcome;
+    ledger_.Handle(delivery::refuse_attempt{refusal.attempt, refusal.kind,
+                                            "refused by the queue"});
+  }
+}
+
+void agent_traffic::OnClaimAnswer(const attempt_id& attempt,
+                                  const stored_answer& answer) {
+  const auto found = attempts_.find(attempt);
+  const bool is_duplicate =
+      found != attempts_.end() && found->second.at == stage::kClaiming;
+  if (is_duplicate) {
+    Record(event_kind::kClaimDuplicate, attempt);
+  }
+  if (answer.body) {
+    ReportAnswer(attempt, upstream_result{answer.status, answer.content_type,
+                                          *answer.body});
+  } else {
+    ReportFailure(attempt,
+                  error{error_kind::kOutcomeUnknown,
+                        "the call was run; its answer is too large to keep"},
+                  outcome::kCompleted);
+  }
+  if (is_duplicate) {
+    Complete(attempt, 0);
+  }
+}
+
+void agent_traffic::OnClaimRefused(const attempt_id& attempt,
+                                   const error& refusal) {
+  if (refusal.kind == error_kind::kOutcomeUnknown) {
+    Record(event_kind::kClaimUnknown, attempt);
+  }
+  ReportFailure(attempt, refusal, AnswerFor(refusal.kind).default_outcome);
+  const auto found = attempts_.find(attempt);
+  if (found != attempts_.end() && found->second.at == stage::kClaiming) {
+    Complete(attempt, 0);
+  }
+}
+
+void agent_traffic::ReportAnswer(const attempt_id& attempt,
+                                 const upstream_result& answer) {
+  const auto found = attempts_.find(attempt);
+  if (found != attempts_.end() && found->second.message->model.empty()) {
+    ledger_.Handle(delivery::part_made{attempt, {}, answer.body});
   }
-  end.parts = running.parts;
-  process_.Record(event_kind::kAttemptEnded,
-                  {{"parts", std::to_string(running.parts)}}, attempt.request,
-                  message.workspace);
-  send_(running.entry, std::move(end));
-  running_.erase(attempt);
+  attempt_end end;
+  end.status = answer.http_status;
+  end.content_type = answer.content_type;
+  ledger_.Handle(delivery::run_ended{attempt, std::move(end)});
+  Record(event_kind::kAttemptEnded, attempt,
+         {{"status", std::to_string(answer.http_status)}});
+}
+
+void agent_traffic::ReportFailure(const attempt_id& attempt,
+                                  const error& failure,
+                                  outcome conclusion) {
+  attempt_end end;
+  end.kind = failure.kind;
+  end.detail = failure.detail;
+  end.result = conclusion;
+  ledger_.Handle(delivery::run_ended{attempt, std::move(end)});
+  Record(event_kind::kAttemptEnded, attempt,
+         {{"error", NameOf(failure.kind)},
+          {"outcome", std::string(ToString(conclusion))}});
+}
+
+void agent_traffic::Complete(const attempt_id& attempt, std::uint64_t tokens) {
+  attempts_.erase(attempt);
+  scheduler_.Handle(request_scheduler::finished{attempt, tokens});
+}
+
+void agent_traffic::Apply(const attempt_ledger::action& action) {
+  std::visit(
+      overloaded{
+          [&](const delivery::admit& admitted) { Admit(admitted.attempt); },
+          [&](const delivery::stop_run& stop) { StopAttempt(stop.attempt); },
+          [&](const delivery::send_part& part) {
+            send_(part.attempt.request.vm,
+                  answer_part_message{part.attempt, part.offset, part.version,
+                                      part.data});
+          },
+          [&](const delivery::send_end& end) {
+            send_(end.attempt.request.vm, ToMessage(end));
+          },
+          [&](const delivery::send_fate& fate) {
+            process_.Record(event_kind::kFateQueried, {}, fate.attempt.request);
+            send_(fate.attempt.request.vm,
+                  fate_message{fate.attempt, ToMessageFate(fate.state)});
+          },
+      },
+      action);
+}
+
+void agent_traffic::Apply(const request_scheduler::action& action) {
+  std::visit(overloaded{
+                 [&](const request_scheduler::start& start) {
+                   StartAttempt(start.attempt);
+                 },
+                 [&](const request_scheduler::preempt& preempt) {
+                   PreemptAttempt(preempt.attempt);
+                 },
+                 [&](const request_scheduler::refuse& refusal) {
+                   RefuseQueued(refusal);
+                 },
+             },
+             action);
+}
+
+void agent_traffic::SetModelWork(bool accepts, model_version version) {
+  accepts_model_work_ = accepts;
+  version_ = std::move(version);
+  SendLoad();
+}
+
+std::size_t agent_traffic::running_model_work() const {
+  return static_cast<std::size_t>(std::count_if(
+      attempts_.begin(), attempts_.end(),
+      [](const auto& item) { return !item.second.message->model.empty(); }));
+}
+
+void agent_traffic::OnUpstreamCrashed() {
+  ReportCrash();
+  for (auto& [attempt, open] : attempts_) {
+    if (open.at == stage::kRunning && open.crashed) {
+      open.preempting = false;
+      open.call->Cancel();
+    }
+  }
+}
+
+// All streams of a crashed engine break at about the same time; each attempt is
+// reported once, with the first that breaks.
+void agent_traffic::ReportCrash() {
+  upstream_crashed_message message;
+  for (auto& [attempt, open] : attempts_) {
+    if (open.at == stage::kRunning && !open.message->model.empty() &&
+        !open.crashed) {
+      open.crashed = true;
+      if (!open.message->fingerprint.empty()) {
+        message.fingerprints.push_back(open.message->fingerprint);
+      }
+    }
+  }
+  if (message.fingerprints.empty()) {
+    return;
+  }
+  process_.Record(
+      event_kind::kUpstreamFailed,
+      {{"fingerprints", std::to_string(message.fingerprints.size())}});
+  for (const auto& [entry, incarnation] : entries_) {
+    send_(entry, message);
+  }
+}
+
+void agent_traffic::OnPause() {
+  journals_.OnPause();
 }
 
 void agent_traffic::SendLoad() {
+  const request_scheduler& queue = scheduler_.core();
   load_report_message report;
-  report.running = running_.size();
-  report.accepts_work = !draining_;
-  for (const vm_id& entry : entries_) {
+  report.running = queue.running();
+  report.queued_tokens = static_cast<std::uint64_t>(queue.queued_tokens());
+  report.tokens_per_second =
+      queue.slot_rate() * process_.settings().upstream_slots;
+  const upstream_declaration* declared = snapshot_->configuration.Find(
+      upstream_id(process_.settings().vm.value()));
+  if (declared != nullptr && declared->model) {
+    report.model = *declared->model;
+    report.version = version_;
+  }
+  report.accepts_work = accepts_work();
+  for (const auto& [entry, incarnation] : entries_) {
     send_(entry, report);
   }
+  metrics& gauges = process_.metrics();
+  gauges.Set("fireflyslip_running_attempts", {},
+             static_cast<double>(queue.running()));
+  gauges.Set("fireflyslip_queued_attempts", {},
+             static_cast<double>(queue.queued()));
+  gauges.Set("fireflyslip_kept_answers", {},
+             static_cast<double>(ledger_.core().kept_answers()));
+}
+
+void agent_traffic::Record(event_kind kind,
+                           const attempt_id& attempt,
+                           std::vector<event_field> fields) {
+  const auto found = attempts_.find(attempt);
+  fields.push_back({"attempt", std::to_string(attempt.number)});
+  process_.Record(kind, std::move(fields), attempt.request,
+                  found == attempts_.end() ? workspace_id()
+                                           : found->second.message->workspace);
+}
+
+bool agent_traffic::accepts_work() const {
+  return !draining_since_ && snapshot_->revision > 0 &&
+         (!serves_model() || accepts_model_work_);
+}
+
+bool agent_traffic::refuses_new_work() const {
+  return draining_since_ && *draining_since_ + kLeavingGrace <= MonotonicNow();
+}
+
+bool agent_traffic::serves_model() const {
+  const upstream_declaration* declared = snapshot_->configuration.Find(
+      upstream_id(process_.settings().vm.value()));
+  return declared != nullptr && declared->model.has_value();
 }
 
 }  // namespace fireflyslip
--- a/src/program/agent_traffic.h
+++ b/src/program/agent_traffic.h
@@ -2,15 +2,20 @@
 #define FIREFLYSLIP_PROGRAM_AGENT_TRAFFIC_H_
 
 #include <boost/asio/awaitable.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
+#include <string>
 
+#include "fireflyslip/delivery.h"
 #include "fireflyslip/http.h"
 #include "fireflyslip/link.h"
 #include "fireflyslip/runtime.h"
+#include "fireflyslip/scheduling.h"
+#include "program/claim_journals.h"
 #include "program/fleet_snapshot.h"
 #include "program/process_context.h"
 #include "program/upstream_call.h"
@@ -19,6 +24,10 @@
 
 /// \brief The traffic thread of an agent: refuses duplicates, queues attempts,
 /// writes booking claims and runs attempts on the upstream.
+///
+/// An attempt passes the ledger, the scheduler and, if it must not be repeated,
+/// its claim journal. Only the ledger sends to entries. All functions are
+/// called on the traffic thread.
 class agent_traffic {
  public:
   using send_function =
@@ -29,27 +38,84 @@
                 send_function send);
 
   void Start();
+
+  /// \brief Refuses new attempts 3 s from now; accepted ones finish.
   void Drain();
-  std::size_t in_progress() const { return running_.size(); }
 
-  void OnSnapshot(snapshot_pointer snapshot) {
-    snapshot_ = std::move(snapshot);
-  }
+  /// \brief Attempts that are queued or running, and answers that wait for
+  /// their acknowledgement; at least 1 until new attempts are refused.
+  std::size_t in_progress() const;
+
+  void OnSnapshot(snapshot_pointer snapshot);
   void OnPeerConnected(const hello_message& peer);
   void OnPeerLost(const vm_id& peer);
   void OnMessage(const vm_id& peer, link_message message);
 
+  /// \brief Whether the engine takes model requests, and its version. Queued
+  /// and running requests go on when it stops taking new ones.
+  void SetModelWork(bool accepts, model_version version);
+
+  /// \brief Model requests that were accepted and have not ended.
+  std::size_t running_model_work() const;
+
+  /// \brief Ends all model requests that run.
+  void OnUpstreamCrashed();
+
+  /// \brief The process was paused: the journals are read again before use.
+  void OnPause();
+
  private:
-  struct running_attempt {
-    vm_id entry;
-    attempt_message message;
-    std::uint64_t parts = 0;
-    std::unique_ptr<upstream_call> call;
+  enum class stage {
+    kQueued,    ///< Waits in the scheduler, maybe after a preemption.
+    kClaiming,  ///< Has a slot and waits for its claim.
+    kRunning,   ///< On the upstream.
   };
+  struct open_attempt {
+    std::shared_ptr<attempt_message> message;
+    time_point arrival;
+    time_point deadline;
+    bool needs_claim = false;
+    stage at = stage::kQueued;
+    bool was_started = false;
+    bool preempting = false;
+    bool was_preempted = false;
+    bool crashed = false;     ///< Ran when the upstream crashed.
+    std::uint64_t parts = 0;  ///< Made since the last start.
+    std::shared_ptr<upstream_call> call;
+  };
+  using attempt_map = std::map<attempt_id, open_attempt>;
 
   void OnAttempt(const vm_id& entry, attempt_message message);
-  boost::asio::awaitable<void> Run(attempt_id attempt);
+  std::optional<error> FindRefusal(const attempt_message& message) const;
+  void Admit(const attempt_id& attempt);
+  void StartAttempt(const attempt_id& attempt);
+  void StopAttempt(const attempt_id& attempt);
+  void PreemptAttempt(const attempt_id& attempt);
+  void RefuseQueued(const request_scheduler::refuse& refusal);
+  void RunUpstream(const attempt_id& attempt);
+  boost::asio::awaitable<void> Run(attempt_id attempt,
+                                   std::shared_ptr<attempt_message> message,
+                                   std::shared_ptr<upstream_call> call,
+                                   time_point deadline);
+  void EndRun(const attempt_id& attempt, const result<upstream_result>& ended);
+  void OnClaimAnswer(const attempt_id& attempt, const stored_answer& answer);
+  void OnClaimRefused(const attempt_id& attempt, const error& refusal);
+  void ReportAnswer(const attempt_id& attempt, const upstream_result& answer);
+  void ReportFailure(const attempt_id& attempt,
+                     const error& failure,
+                     outcome conclusion);
+  void Complete(const attempt_id& attempt, std::uint64_t tokens);
+  void ReportCrash();
   void SendLoad();
+  void Record(event_kind kind,
+              const attempt_id& attempt,
+              std::vector<event_field> fields = {});
+
+  void Apply(const attempt_ledger::action& action);
+  void Apply(const request_scheduler::action& action);
+  bool accepts_work() const;
+  bool refuses_new_work() const;
+  bool serves_model() const;
 
   io_thread& thread_;
   process_context& process_;
@@ -57,9 +123,17 @@
   timer_service timers_;
   http_client client_;
   snapshot_pointer snapshot_ = std::make_shared<fleet_snapshot>();
-  std::set<vm_id> entries_;
-  std::map<attempt_id, running_attempt> running_;
-  bool draining_ = false;
+  std::map<vm_id, incarnation_number> entries_;
+  core_driver<attempt_ledger> ledger_;
+  core_driver<request_scheduler> scheduler_;
+  claim_journals journals_;
+  attempt_map attempts_;
+  std::optional<attempt_message> arriving_;
+  /// Until `SetModelWork()` is called for the first time, model requests are
+  /// accepted.
+  bool accepts_model_work_ = true;
+  model_version version_;
+  std::optional<time_point> draining_since_;
 };
 
 }  // namespace fireflyslip
--- /dev/null
+++ b/src/program/claim_journals.cc
@@ -0,0 +1,279 @@
+#include "program/claim_journals.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <random>
+
+namespace fireflyslip {
+namespace {
+
+using boost::asio::awaitable;
+
+/// Least time between a take-over by another incarnation and the own take-over
+/// for a request. Two agents that both believe to be the home would otherwise
+/// fence each other with each request.
+constexpr seconds kRetakeDelay{1};
+
+digest DigestOfRequest(const attempt_message& attempt) {
+  // Neither a method nor a path contains a line break.
+  return digest::Of(attempt.method + "\n" + attempt.path + "\n" + attempt.body);
+}
+
+std::uint64_t MakeSeed() {
+  std::random_device source;
+  return (std::uint64_t{source()} << 32U) | source();
+}
+
+}  // namespace
+
+claim_journals::claim_journals(boost::asio::io_context& context,
+                               process_context& process,
+                               timer_service& timers,
+                               callbacks handlers)
+    : context_(context),
+      process_(process),
+      timers_(timers),
+      handlers_(std::move(handlers)),
+      objects_(context,
+               http_endpoint{process.settings().platform.address,
+                             process.settings().platform.port}) {}
+
+std::set<claim_journals::slot_name> claim_journals::HomeSlots(
+    const configuration& current) const {
+  const upstream_id self(process_.settings().vm.value());
+  std::set<slot_name> slots;
+  for (const auto& [service, declaration] : current.services()) {
+    const std::vector<upstream_id>& replicas = current.UpstreamsOf(service);
+    for (journal_slot slot = 0; slot < kJournalSlots; ++slot) {
+      if (HomeUpstream(slot, service, replicas) == self) {
+        slots.emplace(service, slot);
+      }
+    }
+  }
+  return slots;
+}
+
+void claim_journals::OnSnapshot(const fleet_snapshot& snapshot) {
+  if (snapshot.revision <= revision_) {
+    return;
+  }
+  revision_ = snapshot.revision;
+  const std::set<slot_name> home = HomeSlots(snapshot.configuration);
+  const auto previous = current_;
+  for (const auto& [slot, id] : previous) {
+    if (!home.contains(slot)) {
+      Retire(id);
+    }
+  }
+  for (const slot_name& slot : home) {
+    const auto found = current_.find(slot);
+    if (found == current_.end()) {
+      Start(slot);
+    } else if (const journal_id id = found->second;
+               journals_.at(id).driver->core().is_superseded()) {
+      Retire(id);
+      Start(slot);
+    }
+  }
+}
+
+void claim_journals::OnPause() {
+  const auto current = current_;
+  for (const auto& [slot, id] : current) {
+    Handle(id, booking::resumed_after_pause{});
+  }
+}
+
+void claim_journals::Start(const slot_name& slot) {
+  const journal_id id = ++last_id_;
+  incarnation_number& highest = highest_[slot];
+  // A clock that runs behind that of an earlier agent must not keep this one
+  // from taking the journal over.
+  highest = std::max<incarnation_number>(WallMilliseconds(), highest + 1);
+  journal& started = journals_[id];
+  started.slot = slot;
+  started.object =
+      "journal/" + slot.first.value() + "/" + std::to_string(slot.second);
+  started.driver = std::make_unique<core_driver<claim_journal>>(
+      claim_journal(), timers_,
+      [this, id](const claim_journal::action& action) { Apply(id, action); });
+  current_[slot] = id;
+  booking::started event;
+  event.incarnation = highest;
+  event.update_id_seed = MakeSeed();
+  Handle(id, event);
+}
+
+void claim_journals::Retire(journal_id id) {
+  journal& ended = journals_.at(id);
+  ended.retired = true;
+  current_.erase(ended.slot);
+  Handle(id, booking::stopped{});
+  SchedulePrune();
+}
+
+void claim_journals::SchedulePrune() {
+  // Posted, because a driver must not be destroyed by its own actions.
+  boost::asio::post(context_, [this] {
+    std::erase_if(journals_, [](const auto& item) {
+      return item.second.retired && item.second.running == 0;
+    });
+  });
+}
+
+void claim_journals::Claim(const attempt_message& attempt,
+                           time_point deadline) {
+  const idempotency_key key = ScopedKey(attempt.workspace, attempt.key);
+  const slot_name slot(attempt.service, JournalSlot(key));
+  const auto found = current_.find(slot);
+  if (found == current_.end()) {
+    handlers_.refuse(attempt.attempt,
+                     error{error_kind::kNoUpstream,
+                           "another upstream is the home of this key"});
+    return;
+  }
+  const journal& home = journals_.at(found->second);
+  if (home.superseded_at &&
+      *home.superseded_at + kRetakeDelay <= MonotonicNow()) {
+    Retire(found->second);
+    Start(slot);
+  }
+  const journal_id id = current_.at(slot);
+  waiting_[attempt.attempt] = id;
+  booking::claim_requested event;
+  event.attempt = attempt.attempt;
+  event.key = key;
+  event.request = DigestOfRequest(attempt);
+  event.deadline = deadline;
+  Handle(id, event);
+}
+
+void claim_journals::Abandon(const attempt_id& attempt) {
+  const auto found = waiting_.find(attempt);
+  if (found != waiting_.end()) {
+    Handle(found->second, booking::abandoned{attempt});
+  }
+}
+
+void claim_journals::Finish(const attempt_id& attempt,
+                            const result<upstream_result>& ended) {
+  const auto found = running_.find(attempt);
+  if (found == running_.end()) {
+    return;
+  }
+  const running_call call = std::move(found->second);
+  running_.erase(found);
+  if (IsOk(ended)) {
+    const upstream_result& answer = ValueOf(ended);
+    booking::run_finished event;
+    event.key = call.key;
+    event.status = answer.http_status;
+    event.content_type = answer.content_type;
+    event.body = answer.body;
+    Handle(call.journal, event);
+  } else {
+    booking::run_failed event;
+    event.key = call.key;
+    event.may_have_run = ErrorOf(ended).kind != error_kind::kNoUpstream;
+    Handle(call.journal, event);
+  }
+  journal& home = journals_.at(call.journal);
+  --home.running;
+  if (home.retired) {
+    SchedulePrune();
+  }
+}
+
+void claim_journals::Handle(journal_id id, claim_journal::event event) {
+  const auto found = journals_.find(id);
+  if (found != journals_.end()) {
+    found->second.driver->Handle(std::move(event));
+    Observe(found->second);
+  }
+}
+
+void claim_journals::Observe(journal& observed) {
+  const claim_journal& core = observed.driver->core();
+  incarnation_number& highest = highest_[observed.slot];
+  highest = std::max(highest, core.highest_incarnation());
+  if (core.is_owner() && !observed.taken_over) {
+    observed.taken_over = true;
+    process_.Record(event_kind::kJournalTakenOver,
+                    {{"journal", observed.object}});
+  }
+  if (core.is_superseded() && !observed.superseded_at) {
+    observed.superseded_at = MonotonicNow();
+    process_.Record(event_kind::kJournalFenced,
+                    {{"journal", observed.object},
+                     {"cause", observed.retired ? "moved" : "superseded"}});
+  }
+}
+
+void claim_journals::Apply(journal_id id, const claim_journal::action& action) {
+  std::visit(overloaded{
+                 [&](const booking::read_journal&) {
+                   boost::asio::co_spawn(context_,
+                                         Read(id, journals_.at(id).object),
+                                         boost::asio::detached);
+                 },
+                 [&](const booking::write_journal& update) {
+                   boost::asio::co_spawn(
+                       context_, Write(id, journals_.at(id).object, update),
+                       boost::asio::detached);
+                 },
+                 [&](const booking::run_call& call) {
+                   running_[call.attempt] = running_call{id, call.key};
+                   ++journals_.at(id).running;
+                   handlers_.run(call.attempt);
+                 },
+                 [&](const booking::answer& ended) {
+                   waiting_.erase(ended.attempt);
+                   handlers_.answer(ended.attempt, ended.stored);
+                 },
+                 [&](const booking::refuse& refusal) {
+                   waiting_.erase(refusal.attempt);
+                   handlers_.refuse(refusal.attempt,
+                                    error{refusal.kind, refusal.detail});
+                 },
+             },
+             action);
+}
+
+// The coroutines hold the number of the journal, not the journal: their frames
+// may outlive this object when the thread is stopped.
+awaitable<void> claim_journals::Read(journal_id id, std::string object) {
+  const result<std::optional<platform_object>> read =
+      co_await objects_.Get(std::move(object));
+  if (!IsOk(read)) {
+    Handle(id, booking::platform_failed{});
+  } else if (const std::optional<platform_object>& found = ValueOf(read)) {
+    Handle(id, booking::journal_read{found->version, found->body});
+  } else {
+    Handle(id, booking::journal_missing{});
+  }
+}
+
+awaitable<void> claim_journals::Write(journal_id id,
+                                      std::string object,
+                                      booking::write_journal update) {
+  const object_version expected = update.expected.value_or(0);
+  std::string body = std::move(update.body);
+  const time_point started = MonotonicNow();
+  const result<std::uint64_t> written =
+      co_await objects_.Put(std::move(object), expected, std::move(body));
+  process_.metrics().ObserveSeconds("fireflyslip_journal_write_seconds", {},
+                                    ToSeconds(MonotonicNow() - started));
+  if (IsOk(written)) {
+    Handle(id, booking::journal_written{ValueOf(written)});
+  } else if (ErrorOf(written).kind == error_kind::kConflict) {
+    Handle(id, booking::journal_conflict{});
+  } else if (ErrorOf(written).kind == error_kind::kOutcomeUnknown) {
+    Handle(id, booking::journal_write_unknown{});
+  } else {
+    Handle(id, booking::platform_failed{});
+  }
+}
+
+}  // namespace fireflyslip
--- a/src/program/upstream_call.cc
+++ b/src/program/upstream_call.cc
@@ -1,8 +1,11 @@
 #include "program/upstream_call.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "fireflyslip/runtime/process_clock.h"
+
 namespace fireflyslip {
 namespace {
 
@@ -32,6 +35,16 @@
   return model_version(found->get<std::string>());
 }
 
+/// \brief Time-out of one step; at least 1 ms, because a run may start at its
+/// deadline.
+duration TimeLeft(time_point deadline) {
+  return std::max<duration>(deadline - MonotonicNow(), milliseconds(1));
+}
+
+error PastDeadline() {
+  return {error_kind::kOutcomeUnknown, "the deadline passed during the run"};
+}
+
 }  // namespace
 
 upstream_call::upstream_call(http_client& client, http_endpoint upstream)
@@ -39,12 +52,12 @@
 
 awaitable<result<upstream_result>> upstream_call::Run(
     const attempt_message& attempt,
-    duration timeout,
-    part_function on_part) {
+    time_point deadline,
+    const part_function& on_part) {
   if (attempt.model.empty()) {
-    co_return co_await RunService(attempt, timeout);
+    co_return co_await RunService(attempt, deadline);
   }
-  co_return co_await RunModel(attempt, timeout, std::move(on_part));
+  co_return co_await RunModel(attempt, deadline, on_part);
 }
 
 void upstream_call::Cancel() {
@@ -56,8 +69,8 @@
 
 awaitable<result<upstream_result>> upstream_call::RunModel(
     const attempt_message& attempt,
-    duration timeout,
-    part_function on_part) {
+    time_point deadline,
+    const part_function& on_part) {
   http_request request{"POST",
                        kCompletionsPath,
                        {{"Content-Type", "application/json"},
@@ -70,9 +83,11 @@
     request.fields.push_back(
         {"X-Resume-Version", attempt.resume_version.value()});
   }
-  auto opened = co_await client_.Open(upstream_, std::move(request), timeout);
+  const duration open_timeout = TimeLeft(deadline);
+  auto opened =
+      co_await client_.Open(upstream_, std::move(request), open_timeout);
   if (!IsOk(opened)) {
-    co_return ErrorOf(opened);
+    co_return ModelFailure(ErrorOf(opened), deadline);
   }
   reader_ = ValueOf(opened);
   const int http_status = reader_->head().status;
@@ -91,11 +106,13 @@
   event_stream_parser parser;
   model_version version = attempt.resume_version;
   while (!cancelled_) {
+    const duration timeout = TimeLeft(deadline);
     const result<std::string> bytes = co_await reader_->Read(timeout);
     if (!IsOk(bytes)) {
-      co_return ErrorOf(bytes);
+      co_return ModelFailure(ErrorOf(bytes), deadline);
     }
     if (ValueOf(bytes).empty()) {
+      connection_lost_ = !cancelled_;
       co_return error{error_kind::kUpstreamFailed,
                       "the engine closed the stream before its end"};
     }
@@ -115,9 +132,20 @@
   co_return error{error_kind::kUpstreamFailed, "cancelled"};
 }
 
+error upstream_call::ModelFailure(const error& failure, time_point deadline) {
+  if (failure.kind == error_kind::kNoUpstream || cancelled_) {
+    return failure;
+  }
+  if (MonotonicNow() >= deadline) {
+    return PastDeadline();
+  }
+  connection_lost_ = true;
+  return failure;
+}
+
 awaitable<result<upstream_result>> upstream_call::RunService(
     const attempt_message& attempt,
-    duration timeout) {
+    time_point deadline) {
   http_request request{attempt.method, attempt.path, {}, attempt.body};
   if (!attempt.content_type.empty()) {
     request.fields.push_back({"Content-Type", attempt.content_type});
@@ -125,9 +153,14 @@
   if (!attempt.key.empty()) {
     request.fields.push_back({"Idempotency-Key", attempt.key.value()});
   }
+  const duration timeout = TimeLeft(deadline);
   auto answered =
       co_await client_.Request(upstream_, std::move(request), timeout);
   if (!IsOk(answered)) {
+    if (ErrorOf(answered).kind != error_kind::kNoUpstream &&
+        MonotonicNow() >= deadline) {
+      co_return PastDeadline();
+    }
     co_return ErrorOf(answered);
   }
   http_response response = ValueOf(std::move(answered));
--- a/src/program/upstream_call.h
+++ b/src/program/upstream_call.h
@@ -28,27 +28,36 @@
 
   upstream_call(http_client& client, http_endpoint upstream);
 
-  /// \brief Runs the attempt. Fails with `kNoUpstream` if nothing reached the
-  /// upstream, else with `kUpstreamFailed` or `kVersionChanged`.
-  boost::asio::awaitable<result<upstream_result>>
-  Run(const attempt_message& attempt, duration timeout, part_function on_part);
+  /// \brief Runs the attempt. Fails with `kNoUpstream` or `kOverloaded` if
+  /// nothing was run, else with `kUpstreamFailed`, `kVersionChanged`, or
+  /// `kOutcomeUnknown` if the deadline passed. `on_part` must outlive the call.
+  boost::asio::awaitable<result<upstream_result>> Run(
+      const attempt_message& attempt,
+      time_point deadline,
+      const part_function& on_part);
 
   /// \brief Closes the connection, which cancels the work of the upstream.
   void Cancel();
 
+  /// \brief Whether the connection broke during a model run, which a crash of
+  /// the engine causes.
+  bool connection_lost() const { return connection_lost_; }
+
  private:
   boost::asio::awaitable<result<upstream_result>> RunModel(
       const attempt_message& attempt,
-      duration timeout,
-      part_function on_part);
+      time_point deadline,
+      const part_function& on_part);
   boost::asio::awaitable<result<upstream_result>> RunService(
       const attempt_message& attempt,
-      duration timeout);
+      time_point deadline);
+  error ModelFailure(const error& failure, time_point deadline);
 
   http_client& client_;
   http_endpoint upstream_;
   std::shared_ptr<response_reader> reader_;
   bool cancelled_ = false;
+  bool connection_lost_ = false;
 };
 
 }  // namespace fireflyslip
