--- a/src/program/agent_daemon.cc
+++ b/src/program/agent_daemon.cc
@@ -32,7 +32,10 @@
     control_.OnSnapshot(snapshot);
     thread_.Post([this, snapshot] { traffic_.OnSnapshot(snapshot); });
   }
-  void OnPause() {}
+  void OnPause() {
+    control_.OnPause();
+    thread_.Post([this] { traffic_.OnPause(); });
+  }
   void OnPeerConnected(const hello_message& peer) {
     control_thread_.Post([this, peer] { control_.OnPeerConnected(peer); });
     thread_.Post([this, peer] { traffic_.OnPeerConnected(peer); });
@@ -67,13 +70,17 @@
   agent_control::callbacks ControlCallbacks(agent_traffic::send_function send) {
     return {
         std::move(send),
-        [](bool /*accepts*/, const model_version& /*version*/) {},
+        [this](bool accepts, const model_version& version) {
+          thread_.Post([this, accepts, version] {
+            traffic_.SetModelWork(accepts, version);
+          });
+        },
         [this](std::function<void(std::size_t)> reply) {
           thread_.Post([this, reply = std::move(reply)] {
-            reply(traffic_.in_progress());
+            reply(traffic_.running_model_work());
           });
         },
-        [] {},
+        [this] { thread_.Post([this] { traffic_.OnUpstreamCrashed(); }); },
     };
   }
 
