Verify the fence of the engine after a pause

The agent ignored the pause handler of the daemon, so an agent that was paused could have given an order under a token that a successor had raised in the meantime. The handler now reaches the order sequencer, which reads the fence again before its next order.

--- a/src/program/agent_daemon.cc
+++ b/src/program/agent_daemon.cc
@@ -32,7 +32,7 @@
     control_.OnSnapshot(snapshot);
     thread_.Post([this, snapshot] { traffic_.OnSnapshot(snapshot); });
   }
-  void OnPause() {}
+  void OnPause() { control_.OnPause(); }
   void OnPeerConnected(const hello_message& peer) {
     control_thread_.Post([this, peer] { control_.OnPeerConnected(peer); });
     thread_.Post([this, peer] { traffic_.OnPeerConnected(peer); });
