--- a/tests/process/answer_check.cc
+++ b/tests/process/answer_check.cc
@@ -1,5 +1,6 @@
 #include "process/answer_check.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <vector>
@@ -66,26 +67,34 @@
   return parsed;
 }
 
+// The end of a body, which tells how an answer failed.
+std::string EndOf(const std::string& body) {
+  constexpr std::size_t kShownBytes = 300;
+  return body.substr(body.size() - std::min(body.size(), kShownBytes));
+}
+
 }  // namespace
 
 std::string FaultOf(const http_answer& answer,
                     const std::string& prompt,
                     int tokens) {
   if (answer.status != 200) {
-    return "status " + std::to_string(answer.status) + ": " + answer.body;
+    return "status " + std::to_string(answer.status) + ": " +
+           EndOf(answer.body);
   }
   const parsed_answer parsed = Parse(answer);
   if (!answer.is_complete || !parsed.is_ended) {
-    return "not ended: " + answer.body;
+    return "not ended: " + EndOf(answer.body);
   }
   std::string expected;
   for (int i = 0; i < tokens; ++i) {
     expected += standins::engine_standin::Token(prompt + "\n", i);
   }
   if (parsed.text != expected) {
-    return "wrong text: " + parsed.text;
+    return "wrong text: " + EndOf(parsed.text);
   }
-  return parsed.versions.size() == 1 ? "" : "mixed versions: " + answer.body;
+  return parsed.versions.size() == 1 ? ""
+                                     : "mixed versions: " + EndOf(answer.body);
 }
 
 bool IsClearError(const http_answer& answer) {
--- a/tests/process/process_fleet.cc
+++ b/tests/process/process_fleet.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <exception>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -94,7 +95,7 @@
 
 process_fleet::~process_fleet() {
   processes_.clear();
-  if (!::testing::Test::HasFailure()) {
+  if (!::testing::Test::HasFailure() && std::uncaught_exceptions() == 0) {
     std::filesystem::remove_all(folder_);
     return;
   }
--- /dev/null
+++ b/tests/process/upstream_failure_test.cc
@@ -0,0 +1,104 @@
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "process/answer_check.h"
+#include "process/process_fleet.h"
+#include "process/request_load.h"
+
+namespace fireflyslip::testing {
+namespace {
+
+// Guards against an answer that ends without an error after some of its parts,
+// or that goes on with a second copy of them, when its engine dies.
+TEST(upstream_failure_test, Stream_EngineKilled_WholeAnswerOrClearError) {
+  constexpr int kTokens = 100;
+  constexpr int kStreams = 6;
+  process_fleet fleet({.entries = {"akl-e1"},
+                       .model_agents = {"akl-m1", "akl-m2"},
+                       .token_ms = 10});
+  std::vector<std::future<http_answer>> streams;
+  streams.reserve(kStreams);
+  for (int i = 0; i < kStreams; ++i) {
+    streams.push_back(
+        fleet.StartComplete("akl-e1", std::to_string(i), kTokens));
+  }
+  fleet.WaitUntil("an engine runs a request",
+                  [&] { return fleet.RunningRequests("akl-m1") > 0; });
+  fleet.upstream("akl-m1").Kill();
+  for (int i = 0; i < kStreams; ++i) {
+    const http_answer answer = streams[i].get();
+    const std::string fault = FaultOf(answer, std::to_string(i), kTokens);
+    EXPECT_TRUE(fault.empty() || IsClearError(answer)) << fault;
+  }
+}
+
+/// \brief Restarts engines that have crashed and counts the crashes.
+class engine_supervisor {
+ public:
+  engine_supervisor(process_fleet& fleet, std::vector<std::string> vms)
+      : fleet_(fleet), vms_(std::move(vms)), thread_([this] { Run(); }) {}
+  ~engine_supervisor() { Stop(); }
+
+  /// \brief Returns the number of crashes.
+  int Stop() {
+    stopping_ = true;
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+    return crashes_;
+  }
+
+  int crashes() const { return crashes_; }
+
+ private:
+  void Run() {
+    while (!stopping_) {
+      for (const std::string& vm : vms_) {
+        if (!fleet_.upstream(vm).IsRunning()) {
+          ++crashes_;
+          fleet_.RestartUpstream(vm);
+        }
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+  }
+
+  process_fleet& fleet_;
+  const std::vector<std::string> vms_;
+  std::atomic<bool> stopping_ = false;
+  std::atomic<int> crashes_ = 0;
+  std::thread thread_;
+};
+
+// Guards against a request that crashes one engine after the other because it
+// is retried, and against innocent requests that fail with it.
+TEST(upstream_failure_test, CrashingRequest_Repeated_BlockedAfterSecondCrash) {
+  constexpr char kCrashPrompt[] = "CRASH-ENGINE";
+  constexpr int kMostCrashes = 2;
+  constexpr int kDeadlineMs = 5000;
+  process_fleet fleet({.entries = {"akl-e1", "akl-e2"},
+                       .model_agents = {"akl-m1", "akl-m2", "akl-m3"}});
+  engine_supervisor supervisor(fleet, {"akl-m1", "akl-m2", "akl-m3"});
+  request_load innocent(fleet, {"akl-e1", "akl-e2"});
+  innocent.WaitForAnswers(20);
+  const auto is_blocked = [&](const std::string& entry) {
+    const http_answer answer =
+        fleet.Complete(entry, kCrashPrompt, 5, true, kDeadlineMs);
+    return answer.body.find("request_crashes_upstream") != std::string::npos;
+  };
+  fleet.WaitUntil("the request is blocked", [&] {
+    return is_blocked("akl-e1") || supervisor.crashes() > kMostCrashes;
+  });
+  EXPECT_TRUE(is_blocked("akl-e1"));
+  EXPECT_TRUE(is_blocked("akl-e2"));
+  innocent.WaitForAnswers(20);
+  EXPECT_EQ(innocent.Stop(), std::vector<std::string>());
+  EXPECT_EQ(supervisor.Stop(), kMostCrashes);
+}
+
+}  // namespace
+}  // namespace fireflyslip::testing
