--- a/src/program/control_plane.cc
+++ b/src/program/control_plane.cc
@@ -153,8 +153,7 @@
     started_ = MonotonicNow();
     UseSeedPeers();
     relay_.Handle(relay_event::started{});
-    asio::co_spawn(
-        thread_.context(), [this] { return WatchMembers(); }, asio::detached);
+    asio::co_spawn(thread_.context(), WatchMembers(), asio::detached);
   });
   thread_.Start();
   return std::monostate();
@@ -334,18 +333,12 @@
 }
 
 void control_plane::On(const relay_action::read_platform& /*action*/) {
-  asio::co_spawn(
-      thread_.context(), [this] { return ReadConfiguration(); },
-      asio::detached);
+  asio::co_spawn(thread_.context(), ReadConfiguration(), asio::detached);
 }
 
 void control_plane::On(const relay_action::watch_platform& action) {
-  asio::co_spawn(
-      thread_.context(),
-      [this, since = action.since, wait = action.wait] {
-        return WatchConfiguration(since, wait);
-      },
-      asio::detached);
+  asio::co_spawn(thread_.context(),
+                 WatchConfiguration(action.since, action.wait), asio::detached);
 }
 
 void control_plane::On(const relay_action::send_configuration& action) {
