Report an entry as ready only when its upstreams are linked

Cause: process tests sent bookings and model requests to an entry whose /ready answered 200 before its links were open; six tests failed with no_upstream (not_run). Ruled out: a fault in routing, since the same requests pass a second later, and a longer wait in the tests, because a balancer would do the same as the tests did. Change: ready means that every declared model and service has an agent in reach and every home of a non-idempotent call is linked, or 5 s have passed. After: the nine tests of bookings, planned stops and upstream failures pass; before: six of them failed.

--- a/src/program/entry_daemon.cc
+++ b/src/program/entry_daemon.cc
@@ -41,7 +41,7 @@
   }
   void Drain() { traffic_.Drain(); }
   std::size_t InProgress() const { return traffic_.requests_in_progress(); }
-  bool IsReady() const { return true; }
+  bool IsReady() const { return traffic_.is_ready(); }
   nlohmann::json StatusFields() const { return nlohmann::json::object(); }
 
  private:
--- a/src/program/entry_traffic.cc
+++ b/src/program/entry_traffic.cc
@@ -8,6 +8,11 @@
 
 using boost::asio::awaitable;
 
+/// An entry whose upstreams are out of reach turns ready after this time, so
+/// that callers get clear answers instead of none.
+constexpr duration kLongestWaitForUpstreams = seconds(5);
+constexpr duration kReadinessInterval = milliseconds(100);
+
 }  // namespace
 
 entry_traffic::entry_traffic(io_thread& thread,
@@ -39,6 +44,7 @@
     return ErrorOf(port);
   }
   port_ = ValueOf(port);
+  timers_.SubscribePeriodic(kReadinessInterval, [this] { UpdateReadiness(); });
   return std::monostate();
 }
 
@@ -46,6 +52,17 @@
   server_.Drain();
 }
 
+void entry_traffic::UpdateReadiness() {
+  if (ready_ || snapshot_->revision == 0 || snapshot_->members_revision == 0) {
+    return;
+  }
+  if (!first_snapshot_) {
+    first_snapshot_ = MonotonicNow();
+  }
+  ready_ = upstreams_.IsLinked() ||
+           MonotonicNow() - *first_snapshot_ >= kLongestWaitForUpstreams;
+}
+
 void entry_traffic::OnSnapshot(snapshot_pointer snapshot) {
   snapshot_ = std::move(snapshot);
   admission_.OnSnapshot(*snapshot_);
--- a/src/program/entry_traffic.h
+++ b/src/program/entry_traffic.h
@@ -2,6 +2,7 @@
 #define FIREFLYSLIP_PROGRAM_ENTRY_TRAFFIC_H_
 
 #include <array>
+#include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <functional>
@@ -42,6 +43,10 @@
     return server_.requests_in_progress();
   }
 
+  /// \brief Whether the balancer should send callers here: the upstreams are
+  /// linked, or have been waited for. Any thread.
+  bool is_ready() const { return ready_; }
+
   // The following are called on the traffic thread.
   void OnSnapshot(snapshot_pointer snapshot);
   void OnPeerConnected(const hello_message& peer);
@@ -54,6 +59,10 @@
   using filter = boost::asio::awaitable<status> (
       entry_traffic::*)(request_context& context, answer_writer& writer);
 
+  /// \brief Turns ready once; a later loss of upstreams is answered for each
+  /// request, since other entries would see the same.
+  void UpdateReadiness();
+
   /// The order of the filters of the request path.
   static const std::array<filter, 5> kFilters;
 
@@ -80,6 +89,8 @@
   process_context& process_;
   send_function send_;
   timer_service timers_;
+  std::atomic<bool> ready_ = false;
+  std::optional<time_point> first_snapshot_;
   snapshot_pointer snapshot_ = std::make_shared<fleet_snapshot>();
   std::uint64_t last_sequence_ = 0;
   entry_admission admission_;
--- a/src/program/upstream_directory.cc
+++ b/src/program/upstream_directory.cc
@@ -139,6 +139,37 @@
                                 : std::optional(found->second.incarnation);
 }
 
+bool upstream_directory::AreLinked(const std::vector<upstream_id>& upstreams,
+                                   bool all) const {
+  std::size_t listed = 0;
+  std::size_t linked = 0;
+  for (const upstream_id& upstream : upstreams) {
+    const vm_id agent = AgentOf(upstream);
+    const auto member = snapshot_->members.find(agent);
+    if (member == snapshot_->members.end() || member->second.leaving) {
+      continue;
+    }
+    ++listed;
+    linked += FindEligible(agent) != nullptr ? 1 : 0;
+  }
+  return linked == listed || (!all && linked > 0);
+}
+
+bool upstream_directory::IsLinked() const {
+  const configuration& current = snapshot_->configuration;
+  const auto is_model_linked = [&](const auto& model) {
+    return AreLinked(current.UpstreamsOf(model.first), false);
+  };
+  const auto is_service_linked = [&](const auto& service) {
+    return AreLinked(current.UpstreamsOf(service.first),
+                     !service.second.non_idempotent.empty());
+  };
+  return std::all_of(current.models().begin(), current.models().end(),
+                     is_model_linked) &&
+         std::all_of(current.services().begin(), current.services().end(),
+                     is_service_linked);
+}
+
 void upstream_directory::OnSnapshot(snapshot_pointer snapshot) {
   snapshot_ = std::move(snapshot);
   if (router_ == nullptr && snapshot_->revision > 0) {
--- a/src/program/upstream_directory.h
+++ b/src/program/upstream_directory.h
@@ -43,6 +43,11 @@
   /// \brief Incarnation of a connected agent.
   std::optional<incarnation_number> IncarnationOf(const vm_id& agent) const;
 
+  /// \brief Whether every declared model and service has an agent in reach that
+  /// accepts work, and every home of a non-idempotent call is in reach.
+  /// Upstreams that are not in the VM list do not count.
+  bool IsLinked() const;
+
   void OnSnapshot(snapshot_pointer snapshot);
   void OnAgentConnected(const vm_id& agent, incarnation_number incarnation);
   void OnAgentLost(const vm_id& agent);
@@ -60,6 +65,8 @@
 
   const agent_state* FindEligible(const vm_id& agent) const;
   bool IsLeaving(const vm_id& agent) const;
+  /// \brief Whether all, or at least one, of the listed upstreams are in reach.
+  bool AreLinked(const std::vector<upstream_id>& upstreams, bool all) const;
   region_id RegionOf(const vm_id& agent,
                      const data_centre_id& data_centre) const;
   void Update(const upstream_id& upstream);
