Refuse model work until the engine's version is known

Cause: an agent accepted model requests from its start, before its control part had asked the engine; work sent to an agent that restarted during a load waited for the load. Change: the agent accepts model work after the first state of the engine.

--- a/src/program/agent_traffic.h
+++ b/src/program/agent_traffic.h
@@ -129,9 +129,8 @@
   claim_journals journals_;
   attempt_map attempts_;
   std::optional<attempt_message> arriving_;
-  /// Until `SetModelWork()` is called for the first time, model requests are
-  /// accepted.
-  bool accepts_model_work_ = true;
+  /// False until the control part knows which version the engine serves.
+  bool accepts_model_work_ = false;
   model_version version_;
   std::optional<time_point> draining_since_;
 };
--- a/src/program/apply_command.cc
+++ b/src/program/apply_command.cc
@@ -178,7 +178,7 @@
     return kExitInvalid;
   }
   operator_client client(*platform);
-  const auto written = WriteUpdate(client, *body, change_id, options.expected);
+  auto written = WriteUpdate(client, *body, change_id, options.expected);
   if (!IsOk(written)) {
     return ReportFailure(ErrorOf(written));
   }
@@ -224,7 +224,7 @@
   }
   bool may_have_run = false;  // an earlier write whose answer was lost
   for (int i = 0; i < kMostTries; ++i) {
-    const auto written = client.WriteConfiguration(*expected, body);
+    auto written = client.WriteConfiguration(*expected, body);
     if (IsOk(written)) {
       return written;
     }
--- a/src/program/daemon_host.h
+++ b/src/program/daemon_host.h
@@ -85,7 +85,7 @@
 
  private:
   status Start() {
-    if (const status started = role_.Start(admin_); !IsOk(started)) {
+    if (status started = role_.Start(admin_); !IsOk(started)) {
       return started;
     }
     if (const auto port = admin_.Listen(); !IsOk(port)) {
--- a/tests/program/agent_traffic_test.cc
+++ b/tests/program/agent_traffic_test.cc
@@ -381,6 +381,12 @@
     return options;
   }
 
+  static void AcceptModelWork(test_agent& agent) {
+    agent.Call([](agent_traffic& traffic) {
+      traffic.SetModelWork(true, model_version("v1"));
+    });
+  }
+
   standins::engine_standin engine_{Options()};
   std::optional<standin_host> engine_host_{std::in_place, engine_};
 };
@@ -392,6 +398,7 @@
   settings.upstream_slots = 1;
   test_agent agent(settings);
   agent.Publish(Snapshot(1, {"a1"}));
+  AcceptModelWork(agent);
   attempt_message background = Completion(Id("e1", 1), kTokens);
   background.rank = request_rank::kBackground;
   agent.Receive(background);
@@ -418,6 +425,7 @@
 TEST_F(model_traffic_test, Upstream_Crash_ReportsAllRunningRequests) {
   test_agent agent(Settings("m1", engine_host_->port()));
   agent.Publish(Snapshot(1, {"a1"}));
+  AcceptModelWork(agent);
   agent.Receive(Completion(Id("e1", 1), 10'000));
   agent.Receive(Completion(Id("e2", 1), 10'000));
   agent.Await<answer_part_message>(4);
@@ -437,6 +445,7 @@
 TEST_F(model_traffic_test, SetModelWork_False_RefusesNewRequests) {
   test_agent agent(Settings("m1", engine_host_->port()));
   agent.Publish(Snapshot(1, {"a1"}));
+  AcceptModelWork(agent);
   agent.Receive(Completion(Id("e1", 1), 20));
   agent.Call([](agent_traffic& traffic) {
     EXPECT_EQ(traffic.running_model_work(), 1);
@@ -449,5 +458,14 @@
   EXPECT_FALSE(ends[1].failed) << ends[1].detail;
 }
 
+// Guards against work for an engine whose version is not known yet, as after a
+// restart of the agent in the middle of a load.
+TEST_F(model_traffic_test, Start_EngineStateUnknown_RefusesModelWork) {
+  test_agent agent(Settings("m1", engine_host_->port()));
+  agent.Publish(Snapshot(1, {"a1"}));
+  agent.Receive(Completion(Id("e1", 1), 1));
+  EXPECT_EQ(agent.AwaitEnd(1).conclusion, outcome::kNotRun);
+}
+
 }  // namespace
 }  // namespace fireflyslip
