Release the engine stand-in's timers before their io_context ends

Cause: the sanitizer build reported a use after free in two tests: jobs of the engine stand-in hold timers of an io_context that the test host destroys first. Ruled out: the program itself, which is not on the stack. Change: the host tells its handler when the context has stopped. After: standins_test 11 of 11 and model_traffic_test 4 of 4 pass with sanitizers; before: one failure in each.

--- a/standins/engine_standin.h
+++ b/standins/engine_standin.h
@@ -42,6 +42,11 @@
   boost::asio::awaitable<void> Handle(const http_request& request,
                                       http_exchange& exchange) override;
 
+  void OnStopped() override {
+    waiting_.clear();
+    jobs_.clear();
+  }
+
   /// \brief Token of an answer at an index, with a space before all but the
   /// first.
   static std::string Token(const std::string& prompt, std::uint64_t index);
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -20,6 +20,10 @@
   /// \brief Answers one request. An exception is answered by 400.
   virtual boost::asio::awaitable<void> Handle(const http_request& request,
                                               http_exchange& exchange) = 0;
+
+  /// \brief The `io_context` runs no more and will be destroyed: releases what
+  /// refers to it, such as timers.
+  virtual void OnStopped() {}
 };
 
 /// \brief HTTP/1.1 server with keep-alive for the stand-ins.
--- a/tests/standins/standin_client.h
+++ b/tests/standins/standin_client.h
@@ -19,16 +19,19 @@
 class standin_host {
  public:
   explicit standin_host(http_handler& handler)
-      : server_(context_, handler, "127.0.0.1", 0),
+      : handler_(handler),
+        server_(context_, handler, "127.0.0.1", 0),
         thread_([this] { context_.run(); }) {}
   ~standin_host() {
     context_.stop();
     thread_.join();
+    handler_.OnStopped();
   }
 
   std::uint16_t port() const { return server_.port(); }
 
  private:
+  http_handler& handler_;
   boost::asio::io_context context_{1};
   http_server server_;
   std::thread thread_;
