Kill the engine that runs streams in the engine failure test

Cause, from the log of the failed run: the entry sent all streams to akl-m2, because akl-m1 accepted work 10 ms later; the test waited for akl-m1 only, until it gave up after 60 s. Ruled out: a lost stream, since akl-m2 received all of them. Change: the test kills the engine that runs requests, whichever it is; all checks of the answers are unchanged. The engine killed now surely is in use.

--- a/tests/process/upstream_failure_test.cc
+++ b/tests/process/upstream_failure_test.cc
@@ -26,9 +26,13 @@
     streams.push_back(
         fleet.StartComplete("akl-e1", std::to_string(i), kTokens));
   }
-  fleet.WaitUntil("an engine runs a request",
-                  [&] { return fleet.RunningRequests("akl-m1") > 0; });
-  fleet.upstream("akl-m1").Kill();
+  // Either engine may get all streams, if the other agent is linked later.
+  std::string busy;
+  fleet.WaitUntil("an engine runs a request", [&] {
+    busy = fleet.RunningRequests("akl-m1") > 0 ? "akl-m1" : "akl-m2";
+    return fleet.RunningRequests(busy) > 0;
+  });
+  fleet.upstream(busy).Kill();
   for (int i = 0; i < kStreams; ++i) {
     const http_answer answer = streams[i].get();
     const std::string fault = FaultOf(answer, std::to_string(i), kTokens);
