Remove three pieces of duplicated code

Each is one function now. Behaviour changes in one case: a VM list entry with port 0 is skipped, as the commands already did.

--- a/include/fireflyslip/booking/claim_journal.h
+++ b/include/fireflyslip/booking/claim_journal.h
@@ -261,6 +261,8 @@
 
   void Merge(const journal_document& document);
   void Supersede(const char* reason);
+  /// \brief Reads the object, because an update did not surely take effect.
+  void ReadBack();
   void ConfirmWrite(const pending_write& write, object_version version);
   void CallPlatform();
   void StartWrite();
--- a/include/fireflyslip/http/http_message.h
+++ b/include/fireflyslip/http/http_message.h
@@ -2,6 +2,7 @@
 #define FIREFLYSLIP_HTTP_HTTP_MESSAGE_H_
 
 #include <compare>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -64,6 +65,9 @@
   auto operator<=>(const http_endpoint&) const = default;
 };
 
+/// \brief Parses `ADDRESS:PORT`; the port must not be 0.
+std::optional<http_endpoint> ParseHttpEndpoint(std::string_view text);
+
 }  // namespace fireflyslip
 
 #endif  // FIREFLYSLIP_HTTP_HTTP_MESSAGE_H_
--- a/src/booking/claim_journal.cc
+++ b/src/booking/claim_journal.cc
@@ -245,7 +245,7 @@
   // whether this update is still the last one.
 }
 
-void claim_journal::On(const booking::journal_conflict& /*event*/) {
+void claim_journal::ReadBack() {
   assert(operation_ == operation::kWrite);
   operation_ = operation::kNone;
   if (phase_ == phase::kSuperseded) {
@@ -255,14 +255,12 @@
   not_before_ = now_;
 }
 
+void claim_journal::On(const booking::journal_conflict& /*event*/) {
+  ReadBack();
+}
+
 void claim_journal::On(const booking::journal_write_unknown& /*event*/) {
-  assert(operation_ == operation::kWrite);
-  operation_ = operation::kNone;
-  if (phase_ == phase::kSuperseded) {
-    return;
-  }
-  phase_ = phase::kReading;
-  not_before_ = now_;
+  ReadBack();
 }
 
 void claim_journal::On(const booking::platform_failed& /*event*/) {
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -134,21 +134,17 @@
                                            http_request request,
                                            duration timeout) {
     const auto self = shared_from_this();
-    result<stream_pointer> connected = co_await Connect(endpoint);
-    if (!IsOk(connected)) {
-      co_return ErrorOf(connected);
-    }
-    stream_pointer stream = ValueOf(std::move(connected));
     const auto message = ToMessage(std::move(request), endpoint);
-    stream->expires_after(timeout);
+    result<stream_pointer> sent = co_await Send(endpoint, message, timeout);
+    if (!IsOk(sent)) {
+      co_return ErrorOf(sent);
+    }
+    stream_pointer stream = ValueOf(std::move(sent));
     beast::error_code code;
-    co_await http::async_write(*stream, message, Into(code));
     http::response_parser<http::string_body> parser;
     parser.body_limit(body_limit_);
     beast::flat_buffer buffer;
-    if (!code) {
-      co_await http::async_read(*stream, buffer, parser, Into(code));
-    }
+    co_await http::async_read(*stream, buffer, parser, Into(code));
     if (code) {
       co_return Failed(endpoint, error_kind::kUpstreamFailed, code.message());
     }
@@ -163,28 +159,43 @@
   awaitable<result<std::shared_ptr<response_reader>>>
   Open(http_endpoint endpoint, http_request request, duration timeout) {
     const auto self = shared_from_this();
+    const auto message = ToMessage(std::move(request), endpoint);
+    result<stream_pointer> sent = co_await Send(endpoint, message, timeout);
+    if (!IsOk(sent)) {
+      co_return ErrorOf(sent);
+    }
+    stream_pointer stream = ValueOf(std::move(sent));
+    auto reader = std::make_shared<buffer_reader>(endpoint, std::move(stream));
+    const beast::error_code code = co_await reader->ReadHead(timeout);
+    if (code) {
+      co_return Failed(endpoint, error_kind::kUpstreamFailed, code.message());
+    }
+    co_return std::static_pointer_cast<response_reader>(reader);
+  }
+
+  void set_body_limit(std::size_t bytes) { body_limit_ = bytes; }
+
+ private:
+  /// \brief Connects and sends a request, which outlives the call; `timeout`
+  /// also bounds the read that follows on the returned stream.
+  awaitable<result<stream_pointer>> Send(
+      const http_endpoint& endpoint,
+      const http::request<http::string_body>& message,
+      duration timeout) {
     result<stream_pointer> connected = co_await Connect(endpoint);
     if (!IsOk(connected)) {
       co_return ErrorOf(connected);
     }
     stream_pointer stream = ValueOf(std::move(connected));
-    const auto message = ToMessage(std::move(request), endpoint);
     stream->expires_after(timeout);
     beast::error_code code;
     co_await http::async_write(*stream, message, Into(code));
-    auto reader = std::make_shared<buffer_reader>(endpoint, std::move(stream));
-    if (!code) {
-      code = co_await reader->ReadHead(timeout);
-    }
     if (code) {
       co_return Failed(endpoint, error_kind::kUpstreamFailed, code.message());
     }
-    co_return std::static_pointer_cast<response_reader>(reader);
+    co_return stream;
   }
 
-  void set_body_limit(std::size_t bytes) { body_limit_ = bytes; }
-
- private:
   awaitable<result<stream_pointer>> Connect(http_endpoint endpoint) {
     if (stream_pointer reused = Reuse(endpoint)) {
       co_return reused;
--- a/src/http/http_message.cc
+++ b/src/http/http_message.cc
@@ -1,6 +1,8 @@
 #include "fireflyslip/http/http_message.h"
 
+#include <algorithm>
 #include <boost/beast/core/string.hpp>
+#include <charconv>
 #include <utility>
 
 namespace fireflyslip {
@@ -37,6 +39,21 @@
   return {};
 }
 
+std::optional<http_endpoint> ParseHttpEndpoint(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  http_endpoint endpoint{std::string(text.substr(0, colon)), 0};
+  const char* end = text.data() + text.size();
+  const auto [position, code] =
+      std::from_chars(text.data() + colon + 1, end, endpoint.port);
+  if (code != std::errc() || position != end || endpoint.port == 0) {
+    return std::nullopt;
+  }
+  return endpoint;
+}
+
 http_response JsonResponse(int status, std::string body) {
   return {status, {{"Content-Type", "application/json"}}, std::move(body)};
 }
--- a/src/program/apply_command.cc
+++ b/src/program/apply_command.cc
@@ -167,7 +167,7 @@
 }
 
 int Apply(const apply_options& options) {
-  const auto platform = ParseAddress(options.platform);
+  const auto platform = ParseHttpEndpoint(options.platform);
   if (!platform) {
     std::cerr << "--platform must be IP:PORT\n";
     return kExitInvalid;
--- a/src/program/fleet_snapshot.cc
+++ b/src/program/fleet_snapshot.cc
@@ -1,6 +1,5 @@
 #include "program/fleet_snapshot.h"
 
-#include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
 
@@ -13,21 +12,6 @@
                                                     : std::string();
 }
 
-std::optional<http_endpoint> ParseEndpoint(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  http_endpoint endpoint{text.substr(0, colon), 0};
-  const char* end = text.data() + text.size();
-  const auto [position, code] =
-      std::from_chars(text.data() + colon + 1, end, endpoint.port);
-  if (code != std::errc() || position != end) {
-    return std::nullopt;
-  }
-  return endpoint;
-}
-
 std::optional<fleet_member> ParseMember(const nlohmann::json& entry) {
   if (!entry.is_object()) {
     return std::nullopt;
@@ -38,8 +22,8 @@
   member.region = region_id(Text(entry, "region"));
   member.leaving = Text(entry, "state") == "leaving";
   const std::string role = Text(entry, "role");
-  const auto link = ParseEndpoint(Text(entry, "link"));
-  const auto admin = ParseEndpoint(Text(entry, "admin"));
+  const auto link = ParseHttpEndpoint(Text(entry, "link"));
+  const auto admin = ParseHttpEndpoint(Text(entry, "admin"));
   if (member.vm.empty() || !link || !admin ||
       (role != "entry" && role != "agent")) {
     return std::nullopt;
--- a/src/program/get_command.cc
+++ b/src/program/get_command.cc
@@ -10,7 +10,7 @@
 namespace {
 
 int GetConfiguration(const std::string& address) {
-  const auto platform = ParseAddress(address);
+  const auto platform = ParseHttpEndpoint(address);
   if (!platform) {
     std::cerr << "--platform must be IP:PORT\n";
     return kExitInvalid;
--- a/src/program/operator_client.cc
+++ b/src/program/operator_client.cc
@@ -2,7 +2,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
-#include <charconv>
 #include <chrono>
 #include <fstream>
 #include <future>
@@ -138,21 +137,6 @@
                      std::istreambuf_iterator<char>());
 }
 
-std::optional<http_endpoint> ParseAddress(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  http_endpoint endpoint{text.substr(0, colon), 0};
-  const char* end = text.data() + text.size();
-  const auto [position, code] =
-      std::from_chars(text.data() + colon + 1, end, endpoint.port);
-  if (code != std::errc() || position != end || endpoint.port == 0) {
-    return std::nullopt;
-  }
-  return endpoint;
-}
-
 int ReportFailure(const error& failure) {
   if (failure.kind == error_kind::kPlatformUnavailable) {
     std::cerr << "the platform is out of reach: " << failure.detail << "\n";
--- a/src/program/operator_client.h
+++ b/src/program/operator_client.h
@@ -67,9 +67,6 @@
 /// \brief Reads a whole file; nothing if that fails.
 std::optional<std::string> ReadFile(const std::string& name);
 
-/// \brief Parses `IP:PORT`, with an IPv6 address unbracketed.
-std::optional<http_endpoint> ParseAddress(const std::string& text);
-
 /// \brief Writes a message about an unreachable platform to standard error and
 /// returns the exit code for the error.
 int ReportFailure(const error& failure);
--- a/src/program/status_command.cc
+++ b/src/program/status_command.cc
@@ -16,7 +16,7 @@
 };
 
 int PrintStatus(const status_options& options) {
-  const auto platform = ParseAddress(options.platform);
+  const auto platform = ParseHttpEndpoint(options.platform);
   if (!platform) {
     std::cerr << "--platform must be IP:PORT\n";
     return kExitInvalid;
--- a/src/program/timeline_command.cc
+++ b/src/program/timeline_command.cc
@@ -47,7 +47,7 @@
 }
 
 int PrintTimeline(const timeline_options& options) {
-  const auto platform = ParseAddress(options.platform);
+  const auto platform = ParseHttpEndpoint(options.platform);
   event_filter filter;
   if (!platform) {
     std::cerr << "--platform must be IP:PORT\n";
