--- /dev/null
+++ b/include/fireflyslip/catalog/deployment.h
@@ -0,0 +1,92 @@
+#ifndef FIREFLYSLIP_CATALOG_DEPLOYMENT_H_
+#define FIREFLYSLIP_CATALOG_DEPLOYMENT_H_
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fireflyslip/catalog/route_table.h"
+#include "fireflyslip/core/ids.h"
+#include "fireflyslip/core/time.h"
+
+namespace fireflyslip {
+
+/// \brief Model engine behind a service.
+struct engine_profile {
+  std::vector<model_name> models;
+  double step_ms = 0;            ///< One token step of a batch.
+  double prompt_tokens_per_s = 0;
+  std::size_t chunk_count = 0;  ///< Chunks of one model version.
+  std::size_t chunk_bytes = 0;
+
+  bool operator==(const engine_profile&) const = default;
+};
+
+/// \brief Origin from which weights are drawn.
+struct weight_origin {
+  std::string address;  ///< `ADDRESS:PORT`
+  data_centre_id data_centre;
+
+  auto operator<=>(const weight_origin&) const = default;
+};
+
+/// \brief A service to which routes lead.
+struct service_profile {
+  service_name name;
+  std::size_t max_connections = 0;  ///< Of one upstream, from all processes.
+  std::optional<engine_profile> engine;
+  std::optional<weight_origin> origin;
+
+  bool operator==(const service_profile&) const = default;
+};
+
+/// \brief Bounds on what a client may send.
+struct client_limits {
+  std::size_t header_bytes = 16UL << 10;
+  std::size_t body_bytes = 4UL << 20;
+  duration header_timeout = seconds(3);
+  duration idle_timeout = seconds(15);
+
+  bool operator==(const client_limits&) const = default;
+};
+
+/// \brief A workspace that a caller key belongs to.
+struct workspace_grant {
+  workspace_id workspace;
+  std::optional<int> priority;  ///< Takes precedence over the route's.
+
+  auto operator<=>(const workspace_grant&) const = default;
+};
+
+/// \brief One version of everything that operators declare.
+struct deployment {
+  std::uint64_t version = 0;
+  route_table routes;
+  std::map<service_name, service_profile> services;
+  client_limits limits;
+  /// Whether requests carry caller keys at all.
+  bool keys_required = false;
+  std::map<std::string, workspace_grant, std::less<>> keys;
+
+  /// \brief The workspace that holds a key, or null.
+  const workspace_grant* FindKey(std::string_view key) const {
+    const auto found = keys.find(key);
+    return found == keys.end() ? nullptr : &found->second;
+  }
+
+  const service_profile* FindService(const service_name& name) const {
+    const auto found = services.find(name);
+    return found == services.end() ? nullptr : &found->second;
+  }
+
+  bool operator==(const deployment&) const = default;
+};
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_CATALOG_DEPLOYMENT_H_
--- /dev/null
+++ b/include/fireflyslip/catalog/version_targets.h
@@ -0,0 +1,52 @@
+#ifndef FIREFLYSLIP_CATALOG_VERSION_TARGETS_H_
+#define FIREFLYSLIP_CATALOG_VERSION_TARGETS_H_
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "fireflyslip/core/ids.h"
+#include "fireflyslip/core/time.h"
+
+namespace fireflyslip {
+
+/// \brief Named model versions, and which of them may still begin requests.
+///
+/// A request must not begin on an older version once a newer one has been named
+/// for longer than the rollout time.
+class version_targets {
+ public:
+  /// \param rollout time within which replicas change to a named version, less
+  /// the time for which a request may wait at a replica.
+  /// \param restart_credit time for which a version that is already named when
+  /// the process starts counts as known.
+  version_targets(duration rollout, duration restart_credit)
+      : rollout_(rollout), restart_credit_(restart_credit) {}
+
+  /// \brief A version is named. Older versions than the newest are ignored.
+  /// \param at_start whether it was named before the process started.
+  void Name(const model_name& model,
+            std::uint64_t version,
+            bool at_start,
+            time_point now);
+
+  /// \brief Newest named version; 0 if none is known.
+  std::uint64_t Newest(const model_name& model) const;
+
+  /// \brief Lowest version on which a request may begin; 0 if any.
+  std::uint64_t Lowest(const model_name& model, time_point now) const;
+
+ private:
+  struct named {
+    std::uint64_t version = 0;
+    time_point since;
+  };
+
+  duration rollout_;
+  duration restart_credit_;
+  std::map<model_name, std::vector<named>> models_;  // by version
+};
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_CATALOG_VERSION_TARGETS_H_
--- a/include/fireflyslip/http/http_client.h
+++ b/include/fireflyslip/http/http_client.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -26,12 +27,50 @@
       duration timeout) = 0;
   /// \brief Closes the connection; a pending `Read()` fails.
   virtual void Cancel() = 0;
+  /// \brief Whether the whole body was read.
+  virtual bool complete() const = 0;
+  /// \brief Gives the connection back for further requests, if the response is
+  /// complete, nothing follows it and the server keeps the connection. Without
+  /// this call the connection ends with the reader.
+  virtual void KeepConnection() = 0;
+};
+
+/// \brief Cancels one call from outside of its coroutine.
+class call_canceller {
+ public:
+  /// \brief Closes the connection of the call, now or when it is made.
+  void Cancel() {
+    cancelled_ = true;
+    if (close_) {
+      close_();
+    }
+  }
+  bool cancelled() const { return cancelled_; }
+
+  /// \brief Used by the client: what closes the present connection.
+  void set_close(std::function<void()> close) { close_ = std::move(close); }
+
+ private:
+  bool cancelled_ = false;
+  std::function<void()> close_;
+};
+
+/// \brief Bounds of the connections of an `http_client`.
+struct http_client_bounds {
+  duration connect_timeout = seconds(2);
+  /// Servers close idle connections; an older one is not used again.
+  duration max_idle_time = seconds(20);
+  std::size_t idle_connections = 8;  ///< For each endpoint.
+  std::size_t body_bytes = 64UL << 20;
+
+  auto operator<=>(const http_client_bounds&) const = default;
 };
 
 /// \brief HTTP/1.1 client with reuse of connections, on one `io_context`.
 class http_client {
  public:
-  explicit http_client(boost::asio::io_context& context);
+  explicit http_client(boost::asio::io_context& context,
+                       http_client_bounds bounds = {});
   ~http_client();
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
@@ -46,8 +85,23 @@
                                                         duration timeout);
 
   /// \brief Sends a request and reads only the head of the response.
-  boost::asio::awaitable<result<std::shared_ptr<response_reader>>>
-  Open(http_endpoint endpoint, http_request request, duration timeout);
+  /// \param max_idle oldest idle connection that is used; zero for a new one.
+  /// \param canceller may be null.
+  ///
+  /// Fails as `Request()` does.
+  boost::asio::awaitable<result<std::shared_ptr<response_reader>>> Open(
+      http_endpoint endpoint,
+      http_request request,
+      duration timeout,
+      duration max_idle = seconds(20),
+      std::shared_ptr<call_canceller> canceller = nullptr);
+
+  /// \brief Closes idle connections to an endpoint.
+  void Forget(const http_endpoint& endpoint);
+
+  /// \brief Closes idle connections that servers have closed or that are too
+  /// old; called now and then.
+  void Prune();
 
   /// \brief Bodies above this size fail with `kUpstreamFailed`.
   void set_body_limit(std::size_t bytes);
--- a/include/fireflyslip/http/http_server.h
+++ b/include/fireflyslip/http/http_server.h
@@ -34,6 +34,9 @@
   /// \brief Closes the connection without completing the response, so that the
   /// client can tell an incomplete response from a complete one.
   virtual void Abort() = 0;
+  /// \brief Calls `on_closed` once if the client closes the connection before
+  /// the response is complete. Only on connections without TLS.
+  virtual void NotifyClosed(std::function<void()> on_closed) = 0;
 };
 
 /// \brief Bounds of what one client can make the server hold.
@@ -71,6 +74,13 @@
   /// progress are completed. Called on the thread of the `io_context`.
   void Drain();
 
+  /// \brief Ends connections after their next response, so that clients move
+  /// to other servers; still accepts connections and requests.
+  void EndConnections();
+
+  /// \brief Bounds of requests that begin from now on.
+  void set_limits(const http_limits& limits);
+
   std::size_t requests_in_progress() const;
 
  private:
--- /dev/null
+++ b/include/fireflyslip/placement.h
@@ -0,0 +1,14 @@
+#ifndef FIREFLYSLIP_PLACEMENT_H_
+#define FIREFLYSLIP_PLACEMENT_H_
+
+/// \brief Module placement: which request an entry sends to which upstream,
+/// which ones wait, and which ones are refused.
+
+#include "fireflyslip/placement/attempt_policy.h"
+#include "fireflyslip/placement/dispatcher.h"
+#include "fireflyslip/placement/placement_policy.h"
+#include "fireflyslip/placement/retry_window.h"
+#include "fireflyslip/placement/upstream_health.h"
+#include "fireflyslip/placement/upstream_load.h"
+
+#endif  // FIREFLYSLIP_PLACEMENT_H_
--- /dev/null
+++ b/include/fireflyslip/placement/dispatcher.h
@@ -0,0 +1,202 @@
+#ifndef FIREFLYSLIP_PLACEMENT_DISPATCHER_H_
+#define FIREFLYSLIP_PLACEMENT_DISPATCHER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+#include "fireflyslip/catalog/upstream_registry.h"
+#include "fireflyslip/catalog/version_targets.h"
+#include "fireflyslip/core/decision_core.h"
+#include "fireflyslip/core/error.h"
+#include "fireflyslip/core/random_source.h"
+#include "fireflyslip/placement/placement_policy.h"
+#include "fireflyslip/placement/upstream_health.h"
+#include "fireflyslip/placement/upstream_load.h"
+
+namespace fireflyslip {
+
+/// \brief Number of a request within one entry.
+using work_id = std::uint64_t;
+
+/// \brief How an attempt at an upstream ended.
+enum class attempt_end {
+  kSucceeded,
+  kFailed,       ///< The upstream failed, or its answer was broken.
+  kRefused,      ///< The upstream stated that it did not run the request.
+  kUnreachable,  ///< No connection, or silence.
+  kAbandoned,    ///< Ended by the entry; says nothing about the upstream.
+};
+
+/// \brief Decision core that places requests on upstreams.
+///
+/// Load pattern: ordinary demand is above what the replicas can serve, uneven
+/// between data centres, and bursts of the least and of the most urgent work
+/// follow each other. Requests wait here rather than at a replica, so that they
+/// can go to whichever replica has room first; they wait by priority, then
+/// fairly over workspaces by cost. A request that cannot be placed within the
+/// time in which its answer is still useful is refused at once.
+class dispatcher {
+ public:
+  /// \brief A request asks for an upstream. Its id is not in the dispatcher.
+  struct submit {
+    work_id id = 0;
+    service_name service;
+    model_name model;  ///< Empty for plain services.
+    workspace_id workspace;
+    int priority = 0;  ///< 0 is the most urgent.
+    double cost = 1;   ///< Any unit that is the same for all requests.
+    bool returning = false;  ///< Was refused or interrupted before.
+    time_point wait_until;   ///< Placed by then or refused.
+    std::set<upstream_id> excluded;
+    /// Only upstreams that serve this version; set to continue a stream.
+    std::optional<std::uint64_t> version;
+
+    bool operator==(const submit&) const = default;
+  };
+  /// \brief A waiting request is not wanted any more.
+  struct withdraw {
+    work_id id = 0;
+
+    bool operator==(const withdraw&) const = default;
+  };
+  /// \brief A started request has ended at its upstream.
+  struct ended {
+    work_id id = 0;
+    attempt_end how = attempt_end::kSucceeded;
+
+    bool operator==(const ended&) const = default;
+  };
+  struct upstreams_changed {
+    std::shared_ptr<const upstream_map> upstreams;  ///< Not null.
+
+    bool operator==(const upstreams_changed&) const = default;
+  };
+  struct load_reported {
+    upstream_id upstream;
+    upstream_load load;
+
+    bool operator==(const load_reported&) const = default;
+  };
+  struct version_named {
+    model_name model;
+    std::uint64_t version = 0;
+    bool at_start = false;  ///< Was named before the process started.
+
+    bool operator==(const version_named&) const = default;
+  };
+  using event = std::variant<tick,
+                             submit,
+                             withdraw,
+                             ended,
+                             upstreams_changed,
+                             load_reported,
+                             version_named>;
+
+  /// \brief Send the request to the upstream.
+  struct start {
+    work_id id = 0;
+    upstream_entry upstream;
+    std::uint64_t version = 0;  ///< Weights it is known to serve; 0: unknown.
+
+    bool operator==(const start&) const = default;
+  };
+  /// \brief Answer the request; this attempt of it was not sent.
+  struct refuse {
+    work_id id = 0;
+    error_kind kind = error_kind::kOverloaded;
+    duration retry_after = {};
+
+    bool operator==(const refuse&) const = default;
+  };
+  using action = std::variant<start, refuse>;
+
+  dispatcher(placement_policy policy,
+             version_targets targets,
+             random_source random);
+
+  std::vector<action> Handle(const event& event, time_point now);
+  std::optional<time_point> NextDeadline() const;
+
+  std::size_t waiting() const { return waiting_.size(); }
+  /// \brief Entries that share the replicas, by the newest report; at least 1.
+  std::size_t entries() const { return entries_; }
+  /// \brief Whether requests for the model can begin at all at present.
+  std::uint64_t LowestVersion(const model_name& model, time_point now) const {
+    return targets_.Lowest(model, now);
+  }
+
+ private:
+  struct upstream_state {
+    upstream_entry entry;
+    std::map<work_id, time_point> in_flight;  // with the time of the send
+    upstream_health health;
+    std::optional<upstream_load> load;
+    time_point load_at;
+    double ended_since_load = 0;
+  };
+  // Order within a service: priority, returning requests, virtual time.
+  using queue_key = std::tuple<int, int, double, work_id>;
+  struct waiting_request {
+    submit request;
+    time_point since;
+    queue_key key;
+  };
+  struct service_queue {
+    std::map<queue_key, work_id> order;
+    // Start-time fair queueing within each priority.
+    std::map<int, double> virtual_time;
+    std::map<std::pair<int, workspace_id>, double> finish_tags;
+    double starts_per_s = 0;  // recent, for the expected wait
+    time_point rate_at;
+  };
+
+  void On(const tick& event);
+  void On(const submit& event);
+  void On(const withdraw& event);
+  void On(const ended& event);
+  void On(const upstreams_changed& event);
+  void On(const load_reported& event);
+  void On(const version_named& event);
+
+  void Dispatch(const service_name& service);
+  void DispatchAll();
+  upstream_state* Choose(const submit& request);
+  bool IsEligible(const upstream_state& upstream, const submit& request) const;
+  std::uint64_t VersionOf(const upstream_state& upstream,
+                          const model_name& model) const;
+  bool HasFreshLoad(const upstream_state& upstream) const;
+  double ExpectedLoad(const upstream_state& upstream) const;
+  duration ExpectedWait(const upstream_state& upstream, double load) const;
+  double Allowance(int priority) const;
+  void Refuse(work_id id, error_kind kind);
+  void Remove(work_id id);
+  void CountStart(service_queue& queue);
+  std::optional<duration> QueueDelay(const service_queue& queue,
+                                     const queue_key& key) const;
+  duration RetryAfter(duration expected);
+
+  placement_policy policy_;
+  version_targets targets_;
+  random_source random_;
+  std::map<upstream_id, upstream_state> upstreams_;
+  std::map<service_name, service_queue> queues_;
+  std::map<work_id, waiting_request> waiting_;
+  std::set<std::pair<time_point, work_id>> wait_ends_;
+  std::map<work_id, upstream_id> started_;
+  std::size_t entries_ = 1;
+  time_point now_;
+  std::vector<action> actions_;
+};
+
+static_assert(decision_core<dispatcher>);
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_PLACEMENT_DISPATCHER_H_
--- /dev/null
+++ b/include/fireflyslip/placement/placement_policy.h
@@ -0,0 +1,53 @@
+#ifndef FIREFLYSLIP_PLACEMENT_PLACEMENT_POLICY_H_
+#define FIREFLYSLIP_PLACEMENT_PLACEMENT_POLICY_H_
+
+#include <array>
+#include <cstddef>
+
+#include "fireflyslip/core/ids.h"
+#include "fireflyslip/core/time.h"
+
+namespace fireflyslip {
+
+/// \brief Constants of placement.
+struct placement_policy {
+  data_centre_id data_centre;  ///< Where the entry runs.
+
+  /// Requests that may wait at a replica beyond its slots, by priority; the
+  /// last one holds for all further priorities. The replica admits urgent
+  /// requests first, so that these may wait there behind fewer others. One
+  /// request of the last priority keeps the batch full between two reports.
+  std::array<double, 3> queue_allowance = {8, 3, 2};
+
+  /// A load report older than this is not used. Reports come every 100 ms;
+  /// a few may be lost.
+  duration report_lifetime = milliseconds(700);
+  /// Requests sent this long before a report arrived may be missing in it.
+  duration report_lag = milliseconds(5);
+  /// Without a report, the own requests at an upstream count this many times,
+  /// for those of the other entries.
+  double unseen_factor = 4;
+
+  /// Added to the expected wait at an upstream of another data centre, for the
+  /// bytes that cross and the longer way.
+  duration remote_penalty = milliseconds(15);
+  /// Expected wait of each running request that a new one shares the batch
+  /// with: the share of its prompt in the passes of the engine.
+  duration wait_per_active = milliseconds(4);
+  /// Expected wait for each request beyond the slots: a full batch of 16 ends
+  /// about 8 requests a second.
+  duration wait_per_queued = milliseconds(120);
+  /// Added for an upstream whose reports have stopped; it may be cut off.
+  duration silence_penalty = milliseconds(250);
+
+  /// Bounds and spread of the delay after which a refused caller returns.
+  duration min_retry_after = milliseconds(250);
+  duration max_retry_after = milliseconds(1500);
+  double retry_after_spread = 0.3;
+
+  bool operator==(const placement_policy&) const = default;
+};
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_PLACEMENT_PLACEMENT_POLICY_H_
--- /dev/null
+++ b/include/fireflyslip/placement/upstream_load.h
@@ -0,0 +1,27 @@
+#ifndef FIREFLYSLIP_PLACEMENT_UPSTREAM_LOAD_H_
+#define FIREFLYSLIP_PLACEMENT_UPSTREAM_LOAD_H_
+
+#include <compare>
+#include <cstdint>
+#include <map>
+
+#include "fireflyslip/core/ids.h"
+
+namespace fireflyslip {
+
+/// \brief State of a replica as its agent reads it on the same VM.
+struct upstream_load {
+  std::uint32_t active = 0;  ///< Requests that run.
+  std::uint32_t queued = 0;  ///< Requests that wait for a slot.
+  /// Requests are not begun, because weights are loaded.
+  bool loading = false;
+  bool reachable = true;      ///< The replica answers its agent.
+  std::uint32_t entries = 0;  ///< Entries that receive the reports.
+  std::map<model_name, std::uint64_t> model_versions;
+
+  auto operator<=>(const upstream_load&) const = default;
+};
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_PLACEMENT_UPSTREAM_LOAD_H_
--- a/include/fireflyslip/runtime/process_clock.h
+++ b/include/fireflyslip/runtime/process_clock.h
@@ -1,6 +1,8 @@
 #ifndef FIREFLYSLIP_RUNTIME_PROCESS_CLOCK_H_
 #define FIREFLYSLIP_RUNTIME_PROCESS_CLOCK_H_
 
+#include <time.h>
+
 #include <chrono>
 #include <cstdint>
 
@@ -8,10 +10,13 @@
 
 namespace fireflyslip {
 
-/// \brief Present time for decision cores, from the monotonic clock.
+/// \brief Present time for decision cores, from a monotonic clock that also
+/// counts while the VM is suspended, so that ages and leases stay true.
 inline time_point MonotonicNow() {
+  timespec now = {};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
   return time_point(std::chrono::duration_cast<duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+      seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 /// \brief Wall-clock time in milliseconds since the epoch, for timelines only.
--- /dev/null
+++ b/include/fireflyslip/staging/weight_stager.h
@@ -0,0 +1,183 @@
+#ifndef FIREFLYSLIP_STAGING_WEIGHT_STAGER_H_
+#define FIREFLYSLIP_STAGING_WEIGHT_STAGER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+#include "fireflyslip/core/decision_core.h"
+#include "fireflyslip/core/ids.h"
+#include "fireflyslip/core/time.h"
+#include "fireflyslip/staging/chunk_sources.h"
+
+namespace fireflyslip {
+
+/// \brief Constants of the staging of weights.
+struct staging_policy {
+  /// Transfers at a time; a few fill the link of a VM.
+  std::size_t parallel_fetches = 6;
+  /// Pause after a source did not have the chunk. It has been asked to wait.
+  duration missing_pause = milliseconds(30);
+  duration failure_pause = milliseconds(150);
+  /// A source that does not have the chunk yet is asked this often.
+  std::size_t asks_of_source = 4;
+  /// Pause after an order that could not be carried out.
+  duration order_pause = milliseconds(300);
+  /// Time after the naming of a version at which the second half of the
+  /// replicas change to it. The first half changes as soon as it can, so that
+  /// only half of the capacity is missing at a time.
+  duration second_wave_after = milliseconds(4000);
+
+  auto operator<=>(const staging_policy&) const = default;
+};
+
+/// \brief Decision core that brings the named weights to one replica.
+///
+/// It fetches the chunks, stages them, has all staged bytes verified right
+/// before the replica is ordered to load them, and starts again when the
+/// replica has lost its weights. A newer version replaces the target at once.
+class weight_stager {
+ public:
+  struct target_named {
+    std::uint64_t version = 0;
+    std::size_t chunks = 0;
+    /// Whether the own replica may hold chunks of it from before.
+    bool may_be_staged = false;
+
+    auto operator<=>(const target_named&) const = default;
+  };
+  struct peers_changed {
+    std::vector<staging_peer> peers;
+    region_id origin_region;
+
+    bool operator==(const peers_changed&) const = default;
+  };
+  enum class fetch_result { kFetched, kMissing, kFailed };
+  /// \brief A transfer ended; its bytes were checked against their digest.
+  struct fetch_ended {
+    std::size_t chunk = 0;
+    staging_source source;
+    fetch_result how = fetch_result::kFetched;
+
+    bool operator==(const fetch_ended&) const = default;
+  };
+  struct stage_ended {
+    std::size_t chunk = 0;
+    bool staged = false;
+
+    auto operator<=>(const stage_ended&) const = default;
+  };
+  /// \brief All staged chunks were read back; `spoilt` differ or are missing.
+  struct verify_ended {
+    std::vector<std::size_t> spoilt;
+
+    bool operator==(const verify_ended&) const = default;
+  };
+  struct load_ended {
+    bool accepted = false;
+
+    auto operator<=>(const load_ended&) const = default;
+  };
+  /// \brief What the replica says of itself.
+  struct replica_observed {
+    std::uint64_t version = 0;  ///< 0 if it holds no weights.
+    bool loading = false;
+
+    auto operator<=>(const replica_observed&) const = default;
+  };
+  using event = std::variant<tick,
+                             target_named,
+                             peers_changed,
+                             fetch_ended,
+                             stage_ended,
+                             verify_ended,
+                             load_ended,
+                             replica_observed>;
+
+  struct fetch {
+    std::size_t chunk = 0;
+    staging_source source;
+
+    auto operator<=>(const fetch&) const = default;
+  };
+  struct stage {
+    std::size_t chunk = 0;
+
+    auto operator<=>(const stage&) const = default;
+  };
+  /// \brief Read all staged chunks back and compare their digests.
+  struct verify {
+    auto operator<=>(const verify&) const = default;
+  };
+  /// \brief Order the replica to load what is staged.
+  struct load {
+    auto operator<=>(const load&) const = default;
+  };
+  using action = std::variant<fetch, stage, verify, load>;
+
+  weight_stager(staging_policy policy, staging_peer self)
+      : policy_(policy), self_(std::move(self)) {}
+
+  std::vector<action> Handle(const event& event, time_point now);
+  std::optional<time_point> NextDeadline() const;
+
+  std::uint64_t target() const { return target_.version; }
+  /// \brief Whether all chunks of the target have been fetched.
+  bool IsFetched() const;
+  /// \brief Whether the replica serves the target.
+  bool IsServing() const {
+    return target_.version > 0 && replica_.version == target_.version;
+  }
+
+ private:
+  enum class chunk_phase { kMissing, kFetching, kFetched, kStaging, kStaged };
+  struct chunk_state {
+    chunk_phase phase = chunk_phase::kMissing;
+    time_point not_before;
+    std::size_t misses = 0;
+    std::size_t failures = 0;
+  };
+  enum class order_phase { kNone, kVerifying, kOrdering };
+
+  void On(const tick& event);
+  void On(const target_named& event);
+  void On(const peers_changed& event);
+  void On(const fetch_ended& event);
+  void On(const stage_ended& event);
+  void On(const verify_ended& event);
+  void On(const load_ended& event);
+  void On(const replica_observed& event);
+
+  void Advance();
+  void FetchNext();
+  void StageNext();
+  void OrderNext();
+  bool AllStaged() const;
+  bool IsSecondWave() const;
+  staging_source SourceOf(std::size_t chunk) const;
+
+  staging_policy policy_;
+  staging_peer self_;
+  std::vector<staging_peer> peers_;
+  region_id origin_region_;
+  target_named target_;
+  time_point named_at_;
+  bool own_replica_first_ = false;
+  std::vector<chunk_state> chunks_;
+  std::size_t fetching_ = 0;
+  replica_observed replica_;
+  bool replica_known_ = false;
+  order_phase order_ = order_phase::kNone;
+  time_point order_not_before_;
+  time_point now_;
+  std::vector<action> actions_;
+};
+
+static_assert(decision_core<weight_stager>);
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_STAGING_WEIGHT_STAGER_H_
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,96 @@
+#ifndef FIREFLYSLIP_GATEWAY_GATEWAY_H_
+#define FIREFLYSLIP_GATEWAY_GATEWAY_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "fireflyslip/catalog.h"
+#include "fireflyslip/http.h"
+#include "fireflyslip/placement.h"
+#include "fireflyslip/runtime.h"
+#include "node/node_settings.h"
+
+namespace fireflyslip {
+
+class exchange;
+
+/// \brief Traffic part of a gateway: takes requests of clients and passes them
+/// to upstreams. All functions are called on the thread of its `io_context`.
+class gateway {
+ public:
+  gateway(boost::asio::io_context& context,
+          const node_settings& settings,
+          metrics& counters,
+          std::uint64_t seed);
+  ~gateway();
+  gateway(const gateway&) = delete;
+  gateway& operator=(const gateway&) = delete;
+
+  /// \brief Starts to serve clients; fails if the address cannot be bound.
+  result<unsigned short> Listen();
+  /// \brief Starts to receive load reports.
+  status ListenForReports();
+
+  // Knowledge, from the control thread.
+  void SetDeployment(std::shared_ptr<const deployment> catalog);
+  void SetUpstreams(std::shared_ptr<const upstream_map> upstreams);
+  void NameVersion(const model_name& model,
+                   std::uint64_t version,
+                   bool at_start);
+  void ConfirmKeys(time_point known_until);
+
+  /// \brief Begins to drain: connections end with their next response.
+  void EndConnections();
+  /// \brief Stops accepting; requests in progress are completed.
+  void StopAccepting();
+  std::size_t requests_in_progress() const;
+
+  // For exchanges.
+  boost::asio::io_context& context() { return context_; }
+  std::shared_ptr<const deployment> catalog() const { return catalog_; }
+  http_client& upstreams() { return client_; }
+  metrics& counters() { return counters_; }
+  const node_settings& settings() const { return settings_; }
+  /// \brief Whether revoked keys may be unknown here.
+  bool AreKeysStale() const;
+  std::optional<duration> KeyAge() const;
+  void Submit(dispatcher::submit request);
+  void Handle(const dispatcher::event& event);
+  retry_window& RetryBudget(const service_name& service);
+  /// \brief Part of the fixed allowance of further attempts of this entry.
+  double RetryAllowance() const;
+  double Random() { return random_.Fraction(); }
+
+ private:
+  boost::asio::awaitable<void> Serve(http_request request,
+                                     response_writer& writer);
+  boost::asio::awaitable<void> ReceiveReports();
+  void SubscribeToReports();
+  void Apply(const dispatcher::action& action);
+
+  boost::asio::io_context& context_;
+  const node_settings settings_;
+  metrics& counters_;
+  random_source random_;
+  timer_service timers_;
+  std::map<work_id, exchange*> exchanges_;
+  core_driver<dispatcher> dispatcher_;
+  http_client client_;
+  http_server server_;
+  boost::asio::ip::udp::socket reports_;
+  std::shared_ptr<const deployment> catalog_;
+  std::shared_ptr<const upstream_map> upstreams_;
+  std::map<std::string, upstream_id> engines_;  // by address
+  std::map<service_name, retry_window> budgets_;
+  std::optional<time_point> keys_known_until_;
+  work_id next_work_ = 1;
+};
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/src/gateway/gateway_daemon.cc
@@ -0,0 +1,200 @@
+#include "gateway/gateway_daemon.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <memory>
+#include <random>
+
+#include "fireflyslip/http.h"
+#include "fireflyslip/runtime.h"
+#include "gateway/catalog_feed.h"
+#include "gateway/gateway.h"
+#include "platform/wire_names.h"
+
+namespace fireflyslip {
+namespace {
+
+using boost::asio::awaitable;
+
+constexpr int kExitOk = 0;
+constexpr int kExitCannotListen = 1;
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusUnavailable = 503;
+
+/// The balancer asks once a second and takes an entry out after two misses, so
+/// that new connections end about this long after readiness does.
+constexpr milliseconds kLeavingNotice{2500};
+/// Kept free at the end of the drain timeout.
+constexpr milliseconds kExitReserve{400};
+constexpr milliseconds kDrainCheckInterval{50};
+
+/// \brief A gateway with its two threads: this one for control, one for
+/// traffic.
+class gateway_daemon {
+ public:
+  explicit gateway_daemon(const node_settings& settings)
+      : settings_(settings),
+        seed_(std::random_device{}()),
+        control_(1),
+        signals_(control_, SIGTERM, SIGINT),
+        drain_timer_(control_),
+        traffic_gateway_(std::make_unique<gateway>(traffic_.context(),
+                                                   settings,
+                                                   counters_,
+                                                   seed_)),
+        feed_(control_, settings, FeedHandlers(), seed_),
+        ready_server_(control_, {}, [this](http_request request,
+                                           response_writer& writer) {
+          return ServeReady(std::move(request), writer);
+        }),
+        metrics_server_(control_, {}, [this](http_request request,
+                                             response_writer& writer) {
+          return ServeMetrics(std::move(request), writer);
+        }) {}
+
+  int Run() {
+    const auto callers = traffic_gateway_->Listen();
+    if (!IsOk(callers)) {
+      return Fail(ErrorOf(callers));
+    }
+    const auto reports = traffic_gateway_->ListenForReports();
+    if (!IsOk(reports)) {
+      return Fail(ErrorOf(reports));
+    }
+    const auto ready = ready_server_.Listen(*settings_.ready);
+    if (!IsOk(ready)) {
+      return Fail(ErrorOf(ready));
+    }
+    const auto served = metrics_server_.Listen(settings_.Metrics());
+    if (!IsOk(served)) {
+      return Fail(ErrorOf(served));
+    }
+    AwaitSignal();
+    feed_.Start();
+    traffic_.Start();
+    LogLine("event=start role=gateway vm=" + settings_.vm.value() +
+            " data_centre=" + settings_.data_centre.value());
+    control_.run();
+    traffic_.Stop();
+    LogLine("event=stop role=gateway vm=" + settings_.vm.value());
+    return kExitOk;
+  }
+
+ private:
+  static int Fail(const error& problem) {
+    LogLine("event=start_failed reason=\"" + problem.detail + "\"");
+    return kExitCannotListen;
+  }
+
+  catalog_feed::handlers FeedHandlers() {
+    catalog_feed::handlers on;
+    on.on_deployment = [this](std::shared_ptr<const deployment> catalog) {
+      traffic_.Post([this, catalog = std::move(catalog)] {
+        traffic_gateway_->SetDeployment(catalog);
+      });
+    };
+    on.on_upstreams = [this](std::shared_ptr<const upstream_map> upstreams) {
+      traffic_.Post([this, upstreams = std::move(upstreams)] {
+        traffic_gateway_->SetUpstreams(upstreams);
+      });
+    };
+    on.on_version = [this](model_name model, std::uint64_t version,
+                           bool at_start) {
+      traffic_.Post([this, model = std::move(model), version, at_start] {
+        traffic_gateway_->NameVersion(model, version, at_start);
+      });
+    };
+    on.on_keys_confirmed = [this](time_point known_until) {
+      traffic_.Post([this, known_until] {
+        traffic_gateway_->ConfirmKeys(known_until);
+      });
+    };
+    return on;
+  }
+
+  bool IsReady() const {
+    if (draining_ || !feed_.IsComplete() || !feed_.keys_known_until()) {
+      return false;
+    }
+    return MonotonicNow() - *feed_.keys_known_until() <
+           settings_.key_revocation;
+  }
+
+  awaitable<void> ServeReady(http_request request, response_writer& writer) {
+    http_response response;
+    const bool known = request.path() == platform::kReadyPath;
+    response.status = !known      ? kStatusNotFound
+                      : IsReady() ? kStatusOk
+                                  : kStatusUnavailable;
+    co_await writer.Send(std::move(response));
+  }
+
+  awaitable<void> ServeMetrics(http_request /*request*/,
+                               response_writer& writer) {
+    http_response response;
+    response.body = counters_.Render();
+    co_await writer.Send(std::move(response));
+  }
+
+  void AwaitSignal() {
+    signals_.async_wait([this](const boost::system::error_code& code, int) {
+      if (!code) {
+        Drain();
+      }
+    });
+  }
+
+  void Drain() {
+    draining_ = true;
+    stop_by_ = MonotonicNow() + settings_.drain_timeout - kExitReserve;
+    LogLine("event=drain role=gateway vm=" + settings_.vm.value());
+    traffic_.Post([this] { traffic_gateway_->EndConnections(); });
+    drain_timer_.expires_after(kLeavingNotice);
+    drain_timer_.async_wait([this](const boost::system::error_code&) {
+      traffic_.Post([this] { traffic_gateway_->StopAccepting(); });
+      CheckDrained();
+    });
+  }
+
+  void CheckDrained() {
+    traffic_.Post([this] {
+      const bool idle = traffic_gateway_->requests_in_progress() == 0;
+      boost::asio::post(control_, [this, idle] {
+        if (idle || MonotonicNow() >= stop_by_) {
+          control_.stop();
+          return;
+        }
+        drain_timer_.expires_after(kDrainCheckInterval);
+        drain_timer_.async_wait(
+            [this](const boost::system::error_code&) { CheckDrained(); });
+      });
+    });
+  }
+
+  const node_settings settings_;
+  const std::uint64_t seed_;
+  metrics counters_;
+  boost::asio::io_context control_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer drain_timer_;
+  io_thread traffic_;
+  std::unique_ptr<gateway> traffic_gateway_;
+  catalog_feed feed_;
+  http_server ready_server_;
+  http_server metrics_server_;
+  bool draining_ = false;
+  time_point stop_by_;
+};
+
+}  // namespace
+
+int RunGateway(const node_settings& settings) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);
+  gateway_daemon daemon(settings);
+  return daemon.Run();
+}
+
+}  // namespace fireflyslip
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -1,14 +1,19 @@
 #include "fireflyslip/http/http_client.h"
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 
+#include "fireflyslip/http/socket_options.h"
+
 namespace fireflyslip {
 namespace {
 
@@ -17,31 +22,34 @@
 namespace http = boost::beast::http;
 using asio::awaitable;
 using asio::ip::tcp;
+using clock_type = std::chrono::steady_clock;
 
-constexpr std::size_t kDefaultBodyLimit = 64UL << 20;  // bytes
-constexpr std::size_t kIdleConnectionsPerEndpoint = 8;
-constexpr std::size_t kReadSize = 64UL << 10;  // bytes
-constexpr seconds kConnectTimeout{2};
-/// Servers close idle connections; an older one is not used again.
-constexpr std::chrono::seconds kMaxIdleTime{20};
+constexpr std::size_t kReadSize = 8UL << 10;  // bytes
+/// A longer body is written while the response is read, because a server may
+/// answer before it has read the body and may not read on.
+constexpr std::size_t kLongBody = 16UL << 10;  // bytes
 
 auto Into(beast::error_code& code) {
   return asio::redirect_error(asio::use_awaitable, code);
 }
 
-http::request<http::string_body> ToMessage(http_request&& request,
+using request_message = http::request<http::string_body>;
+
+std::shared_ptr<request_message> ToMessage(http_request&& request,
                                            const http_endpoint& endpoint) {
-  http::request<http::string_body> message;
-  message.version(11);
-  message.method_string(request.method);
-  message.target(request.target);
-  message.set(http::field::host,
-              endpoint.address + ":" + std::to_string(endpoint.port));
+  auto message = std::make_shared<request_message>();
+  message->version(11);
+  message->method_string(request.method);
+  message->target(request.target);
+  if (request.Field("Host").empty()) {
+    message->set(http::field::host,
+                 endpoint.address + ":" + std::to_string(endpoint.port));
+  }
   for (const http_field& field : request.fields) {
-    message.set(field.name, field.value);
+    message->insert(field.name, field.value);
   }
-  message.body() = std::move(request.body);
-  message.prepare_payload();
+  message->body() = std::move(request.body);
+  message->prepare_payload();
   return message;
 }
 
@@ -63,141 +71,119 @@
                     reason};
 }
 
-struct idle_connection {
-  std::unique_ptr<beast::tcp_stream> stream;
-  std::chrono::steady_clock::time_point since;
-};
-
-using stream_pointer = std::unique_ptr<beast::tcp_stream>;
-
-/// \brief Reads a body of any length through a fixed buffer.
-class buffer_reader : public response_reader {
- public:
-  buffer_reader(http_endpoint endpoint, stream_pointer stream)
-      : endpoint_(std::move(endpoint)), stream_(std::move(stream)) {
-    parser_.body_limit(boost::none);
-  }
-
-  awaitable<beast::error_code> ReadHead(duration timeout) {
-    beast::error_code code;
-    stream_->expires_after(timeout);
-    co_await http::async_read_header(*stream_, buffer_, parser_, Into(code));
-    if (!code) {
-      head_ = ToHead(parser_.get());
-    }
-    co_return code;
-  }
-
-  const http_response& head() const override { return head_; }
-
-  awaitable<result<std::string>> Read(duration timeout) override {
-    std::string part(kReadSize, '\0');
-    while (!parser_.is_done()) {
-      parser_.get().body().data = part.data();
-      parser_.get().body().size = part.size();
-      stream_->expires_after(timeout);
-      beast::error_code code;
-      co_await http::async_read_some(*stream_, buffer_, parser_, Into(code));
-      if (code == http::error::need_buffer) {
-        code = {};
-      }
-      if (code) {
-        co_return Failed(endpoint_, error_kind::kUpstreamFailed,
-                         code.message());
-      }
-      const std::size_t size = part.size() - parser_.get().body().size;
-      if (size > 0) {
-        part.resize(size);
-        co_return part;
-      }
-    }
-    co_return std::string();
+/// \brief Time for which the server keeps an idle connection, from
+/// `Keep-Alive: timeout=SECONDS`.
+duration IdleTimeout(const http_response& head, duration fallback) {
+  constexpr std::string_view kParameter = "timeout=";
+  const std::string_view field = head.Field("Keep-Alive");
+  const std::size_t start = field.find(kParameter);
+  if (start == std::string_view::npos) {
+    return fallback;
   }
+  int value = 0;
+  const std::string_view digits = field.substr(start + kParameter.size());
+  std::from_chars(digits.data(), digits.data() + digits.size(), value);
+  // The server's time begins earlier than ours, and the next request needs
+  // time to arrive.
+  const duration safe = seconds(value) / 2;
+  return std::min(safe, fallback);
+}
 
-  void Cancel() override { stream_->close(); }
+using stream_pointer = std::shared_ptr<beast::tcp_stream>;
 
- private:
-  http_endpoint endpoint_;
-  stream_pointer stream_;
-  beast::flat_buffer buffer_;
-  http::response_parser<http::buffer_body> parser_;
-  http_response head_;
+struct idle_connection {
+  stream_pointer stream;
+  clock_type::time_point since;
+  clock_type::time_point until;
 };
 
+bool IsUnused(beast::tcp_stream& stream) {
+  // A non-blocking peek finds both a close and unexpected bytes.
+  beast::error_code code;
+  stream.socket().non_blocking(true, code);
+  char byte = 0;
+  stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
+                          code);
+  return code == asio::error::would_block;
+}
+
 }  // namespace
 
 class http_client::state : public std::enable_shared_from_this<state> {
  public:
-  explicit state(asio::io_context& context) : context_(context) {}
+  state(asio::io_context& context, http_client_bounds bounds)
+      : context_(context), bounds_(bounds) {}
 
   awaitable<result<http_response>> Request(http_endpoint endpoint,
                                            http_request request,
                                            duration timeout) {
     const auto self = shared_from_this();
-    const auto message = ToMessage(std::move(request), endpoint);
-    result<stream_pointer> sent = co_await Send(endpoint, message, timeout);
-    if (!IsOk(sent)) {
-      co_return ErrorOf(sent);
-    }
-    stream_pointer stream = ValueOf(std::move(sent));
-    beast::error_code code;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(body_limit_);
-    beast::flat_buffer buffer;
-    co_await http::async_read(*stream, buffer, parser, Into(code));
-    if (code) {
-      co_return Failed(endpoint, error_kind::kUpstreamFailed, code.message());
+    const auto end = clock_type::now() + timeout;
+    result<std::shared_ptr<response_reader>> opened =
+        co_await Open(endpoint, std::move(request), timeout,
+                      bounds_.max_idle_time, nullptr);
+    if (!IsOk(opened)) {
+      co_return ErrorOf(opened);
     }
-    http_response response = ToHead(parser.get());
-    response.body = std::move(parser.get().body());
-    if (parser.get().keep_alive()) {
-      Keep(endpoint, std::move(stream));
+    const std::shared_ptr<response_reader> reader = ValueOf(opened);
+    http_response response = reader->head();
+    while (!reader->complete()) {
+      const auto left = std::chrono::duration_cast<duration>(
+          std::max(end - clock_type::now(), clock_type::duration(0)));
+      result<std::string> part = co_await reader->Read(left);
+      if (!IsOk(part)) {
+        co_return ErrorOf(part);
+      }
+      response.body += ValueOf(part);
+      if (response.body.size() > bounds_.body_bytes) {
+        co_return Failed(endpoint, error_kind::kUpstreamFailed,
+                         "body above the limit");
+      }
     }
+    reader->KeepConnection();
     co_return response;
   }
 
-  awaitable<result<std::shared_ptr<response_reader>>>
-  Open(http_endpoint endpoint, http_request request, duration timeout) {
-    const auto self = shared_from_this();
-    const auto message = ToMessage(std::move(request), endpoint);
-    result<stream_pointer> sent = co_await Send(endpoint, message, timeout);
-    if (!IsOk(sent)) {
-      co_return ErrorOf(sent);
-    }
-    stream_pointer stream = ValueOf(std::move(sent));
-    auto reader = std::make_shared<buffer_reader>(endpoint, std::move(stream));
-    const beast::error_code code = co_await reader->ReadHead(timeout);
-    if (code) {
-      co_return Failed(endpoint, error_kind::kUpstreamFailed, code.message());
+  awaitable<result<std::shared_ptr<response_reader>>> Open(
+      http_endpoint endpoint,
+      http_request request,
+      duration timeout,
+      duration max_idle,
+      std::shared_ptr<call_canceller> canceller);
+
+  void Keep(const http_endpoint& endpoint,
+            stream_pointer stream,
+            duration idle_timeout) {
+    std::vector<idle_connection>& idle = idle_[endpoint];
+    if (idle.size() < bounds_.idle_connections && idle_timeout.count() > 0) {
+      stream->expires_never();
+      const auto now = clock_type::now();
+      idle.push_back({std::move(stream), now, now + idle_timeout});
     }
-    co_return std::static_pointer_cast<response_reader>(reader);
   }
 
-  void set_body_limit(std::size_t bytes) { body_limit_ = bytes; }
+  void Forget(const http_endpoint& endpoint) { idle_.erase(endpoint); }
 
- private:
-  /// \brief Connects and sends a request, which outlives the call; `timeout`
-  /// also bounds the read that follows on the returned stream.
-  awaitable<result<stream_pointer>> Send(
-      const http_endpoint& endpoint,
-      const http::request<http::string_body>& message,
-      duration timeout) {
-    result<stream_pointer> connected = co_await Connect(endpoint);
-    if (!IsOk(connected)) {
-      co_return ErrorOf(connected);
+  void Prune() {
+    const auto now = clock_type::now();
+    for (auto at = idle_.begin(); at != idle_.end();) {
+      std::erase_if(at->second, [now](const idle_connection& connection) {
+        return now > connection.until || !IsUnused(*connection.stream);
+      });
+      at = at->second.empty() ? idle_.erase(at) : std::next(at);
     }
-    stream_pointer stream = ValueOf(std::move(connected));
-    stream->expires_after(timeout);
-    beast::error_code code;
-    co_await http::async_write(*stream, message, Into(code));
-    if (code) {
-      co_return Failed(endpoint, error_kind::kUpstreamFailed, code.message());
-    }
-    co_return stream;
   }
 
-  awaitable<result<stream_pointer>> Connect(http_endpoint endpoint) {
-    if (stream_pointer reused = Reuse(endpoint)) {
+  const http_client_bounds& bounds() const { return bounds_; }
+  void set_body_limit(std::size_t bytes) { bounds_.body_bytes = bytes; }
+
+ private:
+  awaitable<result<stream_pointer>> Connect(
+      http_endpoint endpoint,
+      duration timeout,
+      duration max_idle,
+      std::shared_ptr<call_canceller> canceller) {
+    if (stream_pointer reused = Reuse(endpoint, max_idle)) {
       co_return reused;
     }
     beast::error_code code;
@@ -205,56 +191,202 @@
     if (code) {
       co_return Failed(endpoint, error_kind::kNoUpstream, code.message());
     }
-    auto stream = std::make_unique<beast::tcp_stream>(context_);
-    stream->expires_after(kConnectTimeout);
+    auto stream = std::make_shared<beast::tcp_stream>(context_);
+    if (canceller) {
+      canceller->set_close([stream] { stream->close(); });
+    }
+    stream->expires_after(std::min(bounds_.connect_timeout, timeout));
     co_await stream->async_connect(tcp::endpoint(address, endpoint.port),
                                    Into(code));
     if (code) {
       co_return Failed(endpoint, error_kind::kNoUpstream, code.message());
     }
-    stream->socket().set_option(tcp::no_delay(true), code);
+    SetSocketOptions(stream->socket());
     co_return stream;
   }
 
-  stream_pointer Reuse(const http_endpoint& endpoint) {
-    std::vector<idle_connection>& idle = idle_[endpoint];
+  stream_pointer Reuse(const http_endpoint& endpoint, duration max_idle) {
+    const auto found = idle_.find(endpoint);
+    if (found == idle_.end()) {
+      return nullptr;
+    }
+    const auto now = clock_type::now();
+    std::vector<idle_connection>& idle = found->second;
     while (!idle.empty()) {
+      if (now - idle.back().since > max_idle) {
+        return nullptr;  // the others are older
+      }
       idle_connection last = std::move(idle.back());
       idle.pop_back();
-      const auto age = std::chrono::steady_clock::now() - last.since;
-      if (age < kMaxIdleTime && IsOpen(*last.stream)) {
+      if (now <= last.until && IsUnused(*last.stream)) {
         return std::move(last.stream);
       }
     }
     return nullptr;
   }
 
-  /// \brief Whether the server has neither closed the idle connection nor sent
-  /// unexpected bytes; a non-blocking peek finds both.
-  static bool IsOpen(beast::tcp_stream& stream) {
-    beast::error_code code;
-    stream.socket().non_blocking(true, code);
-    char byte = 0;
-    stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
-                            code);
-    return code == asio::error::would_block;
+  asio::io_context& context_;
+  http_client_bounds bounds_;
+  std::map<http_endpoint, std::vector<idle_connection>> idle_;
+};
+
+namespace {
+
+/// \brief Reads a body of any length through a fixed buffer. The parser keeps a
+/// body without a length as incomplete until its connection ends in order.
+template <typename Pool>
+class buffer_reader : public response_reader {
+ public:
+  buffer_reader(std::weak_ptr<Pool> pool,
+                http_endpoint endpoint,
+                stream_pointer stream,
+                std::shared_ptr<call_canceller> canceller,
+                std::shared_ptr<bool> written)
+      : pool_(std::move(pool)),
+        endpoint_(std::move(endpoint)),
+        stream_(std::move(stream)),
+        canceller_(std::move(canceller)),
+        written_(std::move(written)) {
+    ResetParser();
+  }
+  ~buffer_reader() override {
+    if (canceller_) {
+      canceller_->set_close(nullptr);
+    }
   }
 
-  void Keep(const http_endpoint& endpoint, stream_pointer stream) {
-    std::vector<idle_connection>& idle = idle_[endpoint];
-    if (idle.size() < kIdleConnectionsPerEndpoint) {
-      stream->expires_never();
-      idle.push_back({std::move(stream), std::chrono::steady_clock::now()});
+  awaitable<beast::error_code> ReadHead(duration timeout) {
+    stream_->expires_after(timeout);
+    for (;;) {
+      beast::error_code code;
+      co_await http::async_read_header(*stream_, buffer_, *parser_, Into(code));
+      if (code) {
+        co_return code;
+      }
+      constexpr unsigned kFirstFinalStatus = 200;
+      if (parser_->get().result_int() >= kFirstFinalStatus) {
+        break;
+      }
+      ResetParser();  // an interim response
     }
+    head_ = ToHead(parser_->get());
+    co_return beast::error_code();
   }
 
-  asio::io_context& context_;
-  std::map<http_endpoint, std::vector<idle_connection>> idle_;
-  std::size_t body_limit_ = kDefaultBodyLimit;
+  const http_response& head() const override { return head_; }
+  bool complete() const override { return parser_->is_done(); }
+
+  awaitable<result<std::string>> Read(duration timeout) override {
+    std::string part(kReadSize, '\0');
+    while (!parser_->is_done()) {
+      parser_->get().body().data = part.data();
+      parser_->get().body().size = part.size();
+      stream_->expires_after(timeout);
+      beast::error_code code;
+      co_await http::async_read_some(*stream_, buffer_, *parser_, Into(code));
+      if (code == http::error::need_buffer) {
+        code = {};
+      }
+      if (code) {
+        co_return Failed(endpoint_, error_kind::kUpstreamFailed,
+                         code.message());
+      }
+      const std::size_t size = part.size() - parser_->get().body().size;
+      if (size > 0) {
+        part.resize(size);
+        co_return part;
+      }
+    }
+    co_return std::string();
+  }
+
+  void Cancel() override { stream_->close(); }
+
+  void KeepConnection() override {
+    const std::shared_ptr<Pool> pool = pool_.lock();
+    if (pool && stream_ && parser_->is_done() && parser_->keep_alive() &&
+        buffer_.size() == 0 && *written_) {
+      if (canceller_) {
+        canceller_->set_close(nullptr);
+      }
+      pool->Keep(endpoint_, std::move(stream_),
+                 IdleTimeout(head_, pool->bounds().max_idle_time));
+    }
+  }
+
+ private:
+  void ResetParser() {
+    parser_.emplace();
+    parser_->body_limit(boost::none);
+  }
+
+  std::weak_ptr<Pool> pool_;
+  http_endpoint endpoint_;
+  stream_pointer stream_;
+  std::shared_ptr<call_canceller> canceller_;
+  std::shared_ptr<bool> written_;
+  beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::buffer_body>> parser_;
+  http_response head_;
 };
 
-http_client::http_client(asio::io_context& context)
-    : state_(std::make_shared<state>(context)) {}
+awaitable<beast::error_code> WriteMessage(
+    stream_pointer stream,
+    std::shared_ptr<request_message> message,
+    std::shared_ptr<bool> written) {
+  beast::error_code code;
+  co_await http::async_write(*stream, *message, Into(code));
+  *written = !code;
+  co_return code;
+}
+
+}  // namespace
+
+awaitable<result<std::shared_ptr<response_reader>>> http_client::state::Open(
+    http_endpoint endpoint,
+    http_request request,
+    duration timeout,
+    duration max_idle,
+    std::shared_ptr<call_canceller> canceller) {
+  const auto self = shared_from_this();
+  const auto end = clock_type::now() + timeout;
+  const auto message = ToMessage(std::move(request), endpoint);
+  result<stream_pointer> connected =
+      co_await Connect(endpoint, timeout, max_idle, canceller);
+  if (!IsOk(connected)) {
+    co_return ErrorOf(connected);
+  }
+  const stream_pointer stream = ValueOf(connected);
+  if (canceller) {
+    if (canceller->cancelled()) {
+      co_return Failed(endpoint, error_kind::kNoUpstream, "cancelled");
+    }
+    canceller->set_close([stream] { stream->close(); });
+  }
+  const auto left = std::chrono::duration_cast<duration>(
+      std::max(end - clock_type::now(), clock_type::duration(0)));
+  stream->expires_after(left);
+  const auto written = std::make_shared<bool>(false);
+  beast::error_code code;
+  if (message->body().size() > kLongBody) {
+    asio::co_spawn(context_, WriteMessage(stream, message, written),
+                   [](const std::exception_ptr&, const beast::error_code&) {});
+  } else {
+    code = co_await WriteMessage(stream, message, written);
+  }
+  auto reader = std::make_shared<buffer_reader<state>>(
+      self, endpoint, stream, canceller, written);
+  if (!code) {
+    code = co_await reader->ReadHead(left);
+  }
+  if (code) {
+    co_return Failed(endpoint, error_kind::kUpstreamFailed, code.message());
+  }
+  co_return std::static_pointer_cast<response_reader>(reader);
+}
+
+http_client::http_client(asio::io_context& context, http_client_bounds bounds)
+    : state_(std::make_shared<state>(context, bounds)) {}
 
 http_client::~http_client() = default;
 
@@ -267,10 +399,19 @@
 awaitable<result<std::shared_ptr<response_reader>>> http_client::Open(
     http_endpoint endpoint,
     http_request request,
-    duration timeout) {
-  return state_->Open(std::move(endpoint), std::move(request), timeout);
+    duration timeout,
+    duration max_idle,
+    std::shared_ptr<call_canceller> canceller) {
+  return state_->Open(std::move(endpoint), std::move(request), timeout,
+                      max_idle, std::move(canceller));
+}
+
+void http_client::Forget(const http_endpoint& endpoint) {
+  state_->Forget(endpoint);
 }
 
+void http_client::Prune() { state_->Prune(); }
+
 void http_client::set_body_limit(std::size_t bytes) {
   state_->set_body_limit(bytes);
 }
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "fireflyslip/http/problem.h"
+#include "fireflyslip/http/socket_options.h"
 
 namespace fireflyslip {
 namespace {
@@ -28,6 +29,11 @@
 
 constexpr seconds kWriteTimeout{30};
 constexpr milliseconds kAcceptRetryDelay{50};
+/// A client that is out of reach holds a request for this time at most. The
+/// probes are fewer than those towards upstreams, which others wait for.
+constexpr liveness_bounds kClientLiveness{std::chrono::seconds(5),
+                                          std::chrono::seconds(2), 3,
+                                          milliseconds(6000)};
 
 auto Into(beast::error_code& code) {
   return asio::redirect_error(asio::use_awaitable, code);
@@ -74,8 +80,15 @@
 template <typename Stream>
 class stream_writer : public response_writer {
  public:
-  stream_writer(Stream& stream, connection& link, bool keep_alive)
-      : stream_(stream), link_(link), keep_alive_(keep_alive) {}
+  stream_writer(Stream& stream,
+                connection& link,
+                bool keep_alive,
+                const bool* ending = nullptr)
+      : stream_(stream),
+        link_(link),
+        keep_alive_(keep_alive),
+        ending_(ending) {}
+  ~stream_writer() override { *alive_ = false; }
 
   awaitable<bool> Send(http_response response) override {
     http::response<http::string_body> message{
@@ -126,6 +139,21 @@
     link_.Close();
   }
 
+  void NotifyClosed(std::function<void()> on_closed) override {
+    if constexpr (std::is_same_v<Stream, plain_stream>) {
+      tcp::socket& socket = stream_.socket();
+      socket.async_wait(
+          tcp::socket::wait_read,
+          [this, alive = alive_, on_closed = std::move(on_closed)](
+              const beast::error_code& code) {
+            if (*alive && !done_ && (code || IsClosed())) {
+              failed_ = true;
+              on_closed();
+            }
+          });
+    }
+  }
+
   /// \brief Whether another request can be read from the connection.
   bool reusable() const { return done_ && !failed_ && keep_alive_; }
 
@@ -133,11 +161,22 @@
   template <typename Message>
   void Prepare(Message& message, const http_fields& fields) {
     for (const http_field& field : fields) {
-      message.set(field.name, field.value);
+      message.insert(field.name, field.value);
     }
+    keep_alive_ = keep_alive_ && (ending_ == nullptr || !*ending_);
     message.keep_alive(keep_alive_);
   }
 
+  // Whether the client has closed; bytes of a further request are no close.
+  bool IsClosed() {
+    beast::error_code code;
+    char byte = 0;
+    stream_.socket().non_blocking(true, code);
+    const std::size_t size = stream_.socket().receive(
+        asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+    return code ? code != asio::error::would_block : size == 0;
+  }
+
   void ExpireAfter() {
     beast::get_lowest_layer(stream_).expires_after(kWriteTimeout);
   }
@@ -150,8 +189,10 @@
   Stream& stream_;
   connection& link_;
   bool keep_alive_;
+  const bool* ending_;  // may be null
   bool done_ = false;
   bool failed_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 std::optional<error> ToReadError(const beast::error_code& code) {
@@ -219,6 +260,10 @@
     }
   }
 
+  void EndConnections() { ending_ = true; }
+
+  void set_limits(const http_limits& limits) { limits_ = limits; }
+
   void Stop() {
     Drain();
     // Close() changes no container; the coroutines remove their entries later.
@@ -243,7 +288,7 @@
         co_await pause.async_wait(Into(code));
         continue;
       }
-      socket.set_option(tcp::no_delay(true), code);
+      SetSocketOptions(socket, kClientLiveness);
       asio::co_spawn(self->context_, Serve(self, std::move(socket)),
                      asio::detached);
     }
@@ -297,7 +342,16 @@
     }
     if (!code) {
       beast::get_lowest_layer(stream).expires_after(limits_.read_timeout);
-      co_await http::async_read(stream, buffer, parser, Into(code));
+      co_await http::async_read_header(stream, buffer, parser, Into(code));
+      if (!code && beast::iequals(parser.get()[http::field::expect],
+                                  "100-continue")) {
+        const http::response<http::empty_body> interim{
+            http::status::continue_, parser.get().version()};
+        co_await http::async_write(stream, interim, Into(code));
+      }
+      if (!code && !parser.is_done()) {
+        co_await http::async_read(stream, buffer, parser, Into(code));
+      }
     }
     if (code) {
       if (const auto problem = ToReadError(code)) {
@@ -307,7 +361,7 @@
       co_return false;
     }
     const bool keep_alive = parser.get().keep_alive();
-    stream_writer<Stream> writer(stream, link, keep_alive);
+    stream_writer<Stream> writer(stream, link, keep_alive, &ending_);
     link.set_busy(true);
     ++requests_in_progress_;
     beast::get_lowest_layer(stream).expires_never();
@@ -336,6 +390,7 @@
   std::set<connection*> connections_;
   std::size_t requests_in_progress_ = 0;
   bool draining_ = false;
+  bool ending_ = false;
 };
 
 http_server::http_server(asio::io_context& context,
@@ -357,6 +412,14 @@
   state_->Drain();
 }
 
+void http_server::EndConnections() {
+  state_->EndConnections();
+}
+
+void http_server::set_limits(const http_limits& limits) {
+  state_->set_limits(limits);
+}
+
 std::size_t http_server::requests_in_progress() const {
   return state_->requests_in_progress();
 }
--- /dev/null
+++ b/src/http/socket_options.cc
@@ -0,0 +1,29 @@
+#include "fireflyslip/http/socket_options.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace fireflyslip {
+namespace {
+
+void SetInteger(int socket, int level, int option, int value) {
+  (void)::setsockopt(socket, level, option, &value, sizeof(value));
+}
+
+}  // namespace
+
+void SetSocketOptions(boost::asio::ip::tcp::socket& socket,
+                      const liveness_bounds& bounds) {
+  const int handle = socket.native_handle();
+  SetInteger(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetInteger(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetInteger(handle, IPPROTO_TCP, TCP_KEEPIDLE,
+             static_cast<int>(bounds.probe_after.count()));
+  SetInteger(handle, IPPROTO_TCP, TCP_KEEPINTVL,
+             static_cast<int>(bounds.probe_interval.count()));
+  SetInteger(handle, IPPROTO_TCP, TCP_KEEPCNT, bounds.probes);
+  SetInteger(handle, IPPROTO_TCP, TCP_USER_TIMEOUT,
+             static_cast<int>(bounds.unacknowledged.count()));
+}
+
+}  // namespace fireflyslip
--- /dev/null
+++ b/src/node/load_report.h
@@ -0,0 +1,42 @@
+#ifndef FIREFLYSLIP_NODE_LOAD_REPORT_H_
+#define FIREFLYSLIP_NODE_LOAD_REPORT_H_
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "fireflyslip/core/ids.h"
+#include "fireflyslip/placement/upstream_load.h"
+
+namespace fireflyslip {
+
+/// \brief An entry asks an agent for load reports for the next seconds.
+struct load_subscription {
+  vm_id entry;
+
+  bool operator==(const load_subscription&) const = default;
+};
+
+/// \brief An agent tells the load of its replica.
+struct load_report {
+  std::string engine;  ///< `ADDRESS:PORT` of the replica.
+  upstream_load load;
+
+  bool operator==(const load_report&) const = default;
+};
+
+using load_message = std::variant<load_subscription, load_report>;
+
+/// \brief Writes a message as one CBOR datagram.
+std::vector<std::uint8_t> EncodeLoadMessage(const load_message& message);
+
+/// \brief Reads a datagram; nothing if it is malformed.
+std::optional<load_message> DecodeLoadMessage(
+    std::span<const std::uint8_t> datagram);
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_NODE_LOAD_REPORT_H_
--- /dev/null
+++ b/src/node/node_settings.cc
@@ -0,0 +1,124 @@
+#include "node/node_settings.h"
+
+#include <utility>
+
+#include "contract/json_reader.h"
+
+namespace fireflyslip {
+namespace {
+
+using internal::number_range;
+using internal::object_reader;
+
+constexpr std::uint32_t kLargestPort = 65535;
+constexpr std::uint32_t kHour = 3'600'000;  // ms
+
+/// An endpoint; an empty text counts as absent.
+std::optional<http_endpoint> Endpoint(object_reader& reader,
+                                      std::string_view name,
+                                      bool required) {
+  const std::optional<std::string> text = reader.Text(name, required);
+  if (!text || (text->empty() && !required)) {
+    return std::nullopt;
+  }
+  std::optional<http_endpoint> endpoint = ParseHttpEndpoint(*text);
+  if (!endpoint) {
+    reader.Report(finding_kind::kInvalidValue, name, "must be ADDRESS:PORT");
+  }
+  return endpoint;
+}
+
+duration Milliseconds(object_reader& reader,
+                      std::string_view name,
+                      duration fallback) {
+  const auto value = reader.Integer(name, false, 1, kHour);
+  return value ? duration(milliseconds(*value)) : fallback;
+}
+
+void ReadPorts(object_reader& reader, node_settings& settings) {
+  const nlohmann::json* ports = reader.Field("internal_ports", true);
+  if (ports == nullptr) {
+    return;
+  }
+  if (!ports->is_array() || ports->empty() ||
+      !ports->front().is_number_unsigned() ||
+      ports->front().get<std::uint64_t>() == 0 ||
+      ports->front().get<std::uint64_t>() > kLargestPort - 2) {
+    reader.Report(finding_kind::kInvalidValue, "internal_ports",
+                  "must begin with the first of three ports");
+    return;
+  }
+  settings.first_internal_port = ports->front().get<std::uint16_t>();
+}
+
+void ReadRegions(object_reader& reader, node_settings& settings) {
+  std::optional<object_reader> regions = reader.Object("regions", false);
+  if (!regions) {
+    return;
+  }
+  for (const std::string& name : regions->Names()) {
+    if (auto region = regions->Text(name, true)) {
+      settings.regions.emplace(data_centre_id(name), region_id(*region));
+    }
+  }
+}
+
+void ReadBounds(object_reader& reader, node_settings& settings) {
+  settings.drain_timeout =
+      Milliseconds(reader, "drain_timeout_ms", settings.drain_timeout);
+  settings.key_revocation =
+      Milliseconds(reader, "key_revocation_ms", settings.key_revocation);
+  settings.rollout = Milliseconds(reader, "rollout_ms", settings.rollout);
+  if (auto ratio = reader.Number("retry_ratio", false, {0, true, 1, true})) {
+    settings.retry_ratio = *ratio;
+  }
+  if (auto length = reader.Number("retry_window_s", false, number_range{})) {
+    settings.retry_window = FromSeconds(*length);
+  }
+  constexpr double kLargestAllowance = 1e6;
+  if (auto count = reader.Number("retry_allowance", false,
+                                 {0, true, kLargestAllowance, true})) {
+    settings.retry_allowance = *count;
+  }
+}
+
+}  // namespace
+
+region_id node_settings::RegionOf(const data_centre_id& data_centre) const {
+  const auto found = regions.find(data_centre);
+  return found == regions.end() ? region_id(data_centre.value())
+                                : found->second;
+}
+
+result<node_settings> ParseNodeSettings(std::string_view json,
+                                        node_role role,
+                                        std::vector<finding>& findings) {
+  const auto document = internal::ParseDocument(json, findings);
+  if (!document) {
+    return ToError(findings);
+  }
+  object_reader reader(*document, "$", findings);
+  node_settings settings;
+  settings.vm = vm_id(reader.Name("vm", true).value_or(""));
+  settings.address = reader.Text("address", true).value_or("");
+  settings.data_centre =
+      data_centre_id(reader.Name("data_centre", true).value_or(""));
+  settings.region = region_id(reader.Name("region", true).value_or(""));
+  const bool gateway = role == node_role::kGateway;
+  settings.callers = Endpoint(reader, "callers", gateway);
+  settings.ready = Endpoint(reader, "ready", gateway);
+  settings.engine = Endpoint(reader, "engine", !gateway);
+  settings.service = service_name(reader.Text("service", false).value_or(""));
+  settings.platform =
+      Endpoint(reader, "platform", true).value_or(http_endpoint{});
+  ReadPorts(reader, settings);
+  ReadRegions(reader, settings);
+  ReadBounds(reader, settings);
+  reader.Finish();
+  if (!findings.empty()) {
+    return ToError(findings);
+  }
+  return settings;
+}
+
+}  // namespace fireflyslip
--- a/src/program/main.cc
+++ b/src/program/main.cc
@@ -1,10 +1,13 @@
 #include <CLI/CLI.hpp>
+#include <cstdlib>
 #include <iostream>
 #include <optional>
 #include <string>
 
 #include "fireflyslip/contract.h"
 #include "fireflyslip/runtime.h"
+#include "gateway/gateway_daemon.h"
+#include "node/node_settings.h"
 #include "program/apply_command.h"
 #include "program/check_command.h"
 #include "program/daemon.h"
@@ -12,6 +15,7 @@
 #include "program/operator_client.h"
 #include "program/status_command.h"
 #include "program/timeline_command.h"
+#include "stager/stager_daemon.h"
 
 namespace fireflyslip {
 namespace {
@@ -45,6 +49,33 @@
                                       : RunAgent(*std::move(settings));
 }
 
+/// Settings of the daemons on the platform, unless `--settings` is given.
+constexpr char kSettingsVariable[] = "FIREFLYSLIP_BOOT";
+
+int RunNode(std::string file, node_role role) {
+  if (file.empty()) {
+    const char* variable = std::getenv(kSettingsVariable);
+    file = variable == nullptr ? "" : variable;
+  }
+  const std::optional<std::string> text = ReadFile(file);
+  if (!text) {
+    std::cerr << "cannot read settings file '" << file << "'\n";
+    return kExitInvalid;
+  }
+  std::vector<finding> findings;
+  const result<node_settings> settings =
+      ParseNodeSettings(*text, role, findings);
+  for (const finding& fault : findings) {
+    std::cerr << file << ": " << fault.path << ": " << fault.reason << "\n";
+  }
+  if (!IsOk(settings)) {
+    return kExitInvalid;
+  }
+  StartLogging();
+  return role == node_role::kGateway ? RunGateway(ValueOf(settings))
+                                     : RunStager(ValueOf(settings));
+}
+
 int Main(int argc, char** argv) {
   CLI::App app("Weight distribution and request routing for model VMs",
                "fireflyslip");
@@ -59,6 +90,14 @@
   agent->add_option("--settings", settings_file, "Settings file (JSON)")
       ->required();
 
+  std::string node_file;
+  CLI::App* gateway = app.add_subcommand(
+      "gateway", "Run an entry on the platform, without agents between");
+  gateway->add_option("--settings", node_file, "Settings file (JSON)");
+  CLI::App* stager = app.add_subcommand(
+      "stager", "Run the agent beside a model replica on the platform");
+  stager->add_option("--settings", node_file, "Settings file (JSON)");
+
   int exit_code = 0;
   AddCheckCommand(app, exit_code);
   AddApplyCommand(app, exit_code);
@@ -73,6 +112,12 @@
   if (agent->parsed()) {
     return RunDaemon(settings_file, process_role::kAgent);
   }
+  if (gateway->parsed()) {
+    return RunNode(node_file, node_role::kGateway);
+  }
+  if (stager->parsed()) {
+    return RunNode(node_file, node_role::kStager);
+  }
   return exit_code;
 }
 
--- /dev/null
+++ b/src/stager/chunk_server.cc
@@ -0,0 +1,99 @@
+#include "stager/chunk_server.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace fireflyslip {
+namespace {
+
+using boost::asio::awaitable;
+
+constexpr std::string_view kPrefix = "/chunks/";
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotFound = 404;
+/// A request for a chunk that is not here yet is answered after this time, so
+/// that it need not be repeated at once.
+constexpr milliseconds kLongestWait{400};
+constexpr milliseconds kCheckInterval{25};
+
+struct chunk_name {
+  std::uint64_t version = 0;
+  std::size_t index = 0;
+};
+
+template <typename Number>
+bool Take(std::string_view& text, Number& value) {
+  const auto [end, code] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (code != std::errc()) {
+    return false;
+  }
+  text.remove_prefix(static_cast<std::size_t>(end - text.data()));
+  return true;
+}
+
+std::optional<chunk_name> ParsePath(std::string_view path) {
+  if (!path.starts_with(kPrefix)) {
+    return std::nullopt;
+  }
+  path.remove_prefix(kPrefix.size());
+  chunk_name name;
+  if (!Take(path, name.version) || !path.starts_with('/')) {
+    return std::nullopt;
+  }
+  path.remove_prefix(1);
+  if (!Take(path, name.index) || !path.empty()) {
+    return std::nullopt;
+  }
+  return name;
+}
+
+}  // namespace
+
+std::string ChunkPath(std::uint64_t version, std::size_t index) {
+  return std::string(kPrefix) + std::to_string(version) + "/" +
+         std::to_string(index);
+}
+
+chunk_server::chunk_server(boost::asio::io_context& context,
+                           const chunk_store& chunks)
+    : context_(context),
+      chunks_(chunks),
+      server_(context, {}, [this](http_request request,
+                                  response_writer& writer) {
+        return Serve(std::move(request), writer);
+      }) {}
+
+result<unsigned short> chunk_server::Listen(const http_endpoint& endpoint) {
+  return server_.Listen(endpoint);
+}
+
+awaitable<void> chunk_server::Serve(http_request request,
+                                    response_writer& writer) {
+  const std::optional<chunk_name> name = ParsePath(request.path());
+  http_response response;
+  response.status = kStatusNotFound;
+  duration waited{0};
+  while (name && waited < kLongestWait && chunks_.version() <= name->version) {
+    const auto bytes = chunks_.version() == name->version
+                           ? chunks_.Get(name->index)
+                           : nullptr;
+    if (bytes) {
+      response.status = kStatusOk;
+      response.body = *bytes;
+      break;
+    }
+    boost::asio::steady_timer timer(context_, kCheckInterval);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    waited += kCheckInterval;
+  }
+  co_await writer.Send(std::move(response));
+}
+
+}  // namespace fireflyslip
--- /dev/null
+++ b/src/stager/chunk_store.h
@@ -0,0 +1,54 @@
+#ifndef FIREFLYSLIP_STAGER_CHUNK_STORE_H_
+#define FIREFLYSLIP_STAGER_CHUNK_STORE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fireflyslip/core/digest.h"
+
+namespace fireflyslip {
+
+/// \brief Chunks of one model version in memory, each checked by its digest.
+class chunk_store {
+ public:
+  /// \brief Begins a new version; the chunks of the previous one are dropped.
+  void Reset(std::uint64_t version, std::vector<digest> digests) {
+    version_ = version;
+    digests_ = std::move(digests);
+    chunks_.assign(digests_.size(), nullptr);
+  }
+
+  std::uint64_t version() const { return version_; }
+  std::size_t size() const { return digests_.size(); }
+
+  /// \brief Whether the bytes are those of the chunk.
+  bool Matches(std::size_t index, const std::string& bytes) const {
+    return index < digests_.size() && digest::Of(bytes) == digests_[index];
+  }
+
+  /// \brief Keeps a chunk if its bytes match; returns whether they do.
+  bool Put(std::size_t index, std::string bytes) {
+    if (!Matches(index, bytes)) {
+      return false;
+    }
+    chunks_[index] = std::make_shared<const std::string>(std::move(bytes));
+    return true;
+  }
+
+  /// \brief The bytes of a chunk, or null.
+  std::shared_ptr<const std::string> Get(std::size_t index) const {
+    return index < chunks_.size() ? chunks_[index] : nullptr;
+  }
+
+ private:
+  std::uint64_t version_ = 0;
+  std::vector<digest> digests_;
+  std::vector<std::shared_ptr<const std::string>> chunks_;
+};
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_STAGER_CHUNK_STORE_H_
--- /dev/null
+++ b/src/stager/load_publisher.cc
@@ -0,0 +1,130 @@
+#include "stager/load_publisher.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "fireflyslip/runtime.h"
+#include "node/load_report.h"
+
+namespace fireflyslip {
+namespace {
+
+using boost::asio::awaitable;
+using boost::asio::ip::udp;
+
+/// A full batch ends about 8 requests a second, so that a report is at most one
+/// request behind.
+constexpr milliseconds kReportInterval{100};
+/// Entries subscribe once a second.
+constexpr seconds kSubscriptionLifetime{3};
+/// A replica answers its own VM within a millisecond, even when it is full.
+constexpr milliseconds kReadTimeout{500};
+
+}  // namespace
+
+load_publisher::load_publisher(boost::asio::io_context& context,
+                               const node_settings& settings,
+                               platform::engine_client& engine,
+                               observer on_load)
+    : context_(context),
+      settings_(settings),
+      engine_(engine),
+      on_load_(std::move(on_load)),
+      socket_(context) {}
+
+status load_publisher::Start() {
+  const http_endpoint where = settings_.LoadReports();
+  boost::system::error_code code;
+  const udp::endpoint local(
+      boost::asio::ip::make_address(where.address, code), where.port);
+  if (!code) {
+    socket_.open(udp::v4(), code);
+  }
+  if (!code) {
+    socket_.bind(local, code);
+  }
+  if (code) {
+    return error{error_kind::kInternalError,
+                 "cannot receive subscriptions: " + code.message()};
+  }
+  boost::asio::co_spawn(context_, ReceiveSubscriptions(),
+                        boost::asio::detached);
+  boost::asio::co_spawn(context_, Poll(), boost::asio::detached);
+  return std::monostate{};
+}
+
+awaitable<void> load_publisher::ReceiveSubscriptions() {
+  constexpr std::size_t kLargestDatagram = 512;
+  std::array<std::uint8_t, kLargestDatagram> buffer{};
+  udp::endpoint from;
+  for (;;) {
+    boost::system::error_code code;
+    const std::size_t size = co_await socket_.async_receive_from(
+        boost::asio::buffer(buffer), from,
+        boost::asio::redirect_error(boost::asio::use_awaitable, code));
+    if (code == boost::asio::error::operation_aborted) {
+      co_return;
+    }
+    if (code) {
+      continue;  // an earlier datagram found no receiver
+    }
+    const auto message = DecodeLoadMessage(std::span(buffer.data(), size));
+    const auto* subscription =
+        message ? std::get_if<load_subscription>(&*message) : nullptr;
+    if (subscription != nullptr) {
+      subscribers_[subscription->entry] = {from, MonotonicNow()};
+    }
+  }
+}
+
+awaitable<void> load_publisher::Poll() {
+  boost::asio::steady_timer timer(context_);
+  for (;;) {
+    const auto read = co_await engine_.ReadLoad(kReadTimeout);
+    upstream_load load;
+    if (IsOk(read)) {
+      load = ValueOf(read);
+    } else {
+      load.reachable = false;
+    }
+    if (load.reachable != reachable_) {
+      reachable_ = load.reachable;
+      LogLine(std::string("event=replica_") +
+              (reachable_ ? "regained" : "lost"));
+    }
+    on_load_(load);
+    Send(load);
+    timer.expires_after(kReportInterval);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  }
+}
+
+void load_publisher::Send(const upstream_load& load) {
+  const time_point now = MonotonicNow();
+  std::erase_if(subscribers_, [now](const auto& item) {
+    return item.second.heard + kSubscriptionLifetime < now;
+  });
+  if (subscribers_.empty()) {
+    return;
+  }
+  load_report report;
+  report.engine = settings_.engine->address + ":" +
+                  std::to_string(settings_.engine->port);
+  report.load = load;
+  report.load.entries = static_cast<std::uint32_t>(subscribers_.size());
+  const std::vector<std::uint8_t> datagram = EncodeLoadMessage(report);
+  for (const auto& [entry, subscriber] : subscribers_) {
+    boost::system::error_code ignored;  // the next report replaces a lost one
+    socket_.send_to(boost::asio::buffer(datagram), subscriber.endpoint, 0,
+                    ignored);
+  }
+}
+
+}  // namespace fireflyslip
--- /dev/null
+++ b/src/stager/stager.cc
@@ -0,0 +1,344 @@
+#include "stager/stager.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "platform/catalog_codec.h"
+#include "platform/wire_names.h"
+
+namespace fireflyslip {
+namespace {
+
+using boost::asio::awaitable;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotFound = 404;
+/// Versions begin here; replicas may hold this one before any is named.
+constexpr std::uint64_t kFirstVersion = 1;
+constexpr seconds kVersionWait{5};
+constexpr milliseconds kStoreTimeout{1000};
+constexpr milliseconds kRetryPause{200};
+/// Peers are read again while a version is on its way.
+constexpr milliseconds kPeerInterval{1500};
+constexpr milliseconds kTargetCheckInterval{50};
+/// One chunk takes 42 ms on an idle link of a VM; several share it.
+constexpr milliseconds kChunkTimeout{2500};
+constexpr milliseconds kOwnReplicaTimeout{1000};
+
+}  // namespace
+
+stager::stager(boost::asio::io_context& context,
+               const node_settings& settings,
+               metrics& counters,
+               std::uint64_t seed)
+    : context_(context),
+      settings_(settings),
+      counters_(counters),
+      timers_(context),
+      store_(context, settings.platform),
+      engine_(context, *settings.engine),
+      peers_(context),
+      chunk_server_(context, chunks_),
+      publisher_(context,
+                 settings_,
+                 engine_,
+                 [this](const upstream_load& load) { OnLoad(load); }),
+      versions_(context,
+                settings.platform,
+                {platform::kVersionKind, kVersionWait},
+                VersionHandlers(),
+                seed),
+      core_(weight_stager({}, {settings.address, settings.region, false}),
+            timers_,
+            [this](const weight_stager::action& action) { Apply(action); }) {}
+
+status stager::Start() {
+  const auto served = chunk_server_.Listen(settings_.Chunks());
+  if (!IsOk(served)) {
+    return ErrorOf(served);
+  }
+  const status published = publisher_.Start();
+  if (!IsOk(published)) {
+    return published;
+  }
+  boost::asio::co_spawn(context_, versions_.Run(), boost::asio::detached);
+  boost::asio::co_spawn(context_, Prepare(), boost::asio::detached);
+  return std::monostate{};
+}
+
+kind_watch::handlers stager::VersionHandlers() {
+  kind_watch::handlers on;
+  on.on_contact = [] {};
+  on.on_list = [this](const platform::store_listing& listing) {
+    for (const platform::store_object& object : listing.objects) {
+      OnNamed(object);
+    }
+  };
+  on.on_change = [this](const platform::store_change& change) {
+    if (!change.removed) {
+      OnNamed(change.object);
+    }
+  };
+  on.on_confirmed = [](const watch_freshness&) {};
+  return on;
+}
+
+void stager::OnNamed(const platform::store_object& object) {
+  const auto named = platform::DecodeNamedVersion(object.content);
+  if (!named || (!model_.empty() && named->model != model_)) {
+    return;
+  }
+  if (named->version > named_) {
+    named_ = named->version;
+    LogLine("event=version_named model=" + named->model.value() +
+            " version=" + std::to_string(named_));
+  }
+}
+
+void stager::OnLoad(const upstream_load& load) {
+  load_ = load;
+  if (!load.reachable) {
+    return;
+  }
+  const auto found = load.model_versions.find(model_);
+  core_.Handle(weight_stager::replica_observed{
+      found == load.model_versions.end() ? 0 : found->second, load.loading});
+}
+
+void stager::Apply(const weight_stager::action& action) {
+  const auto spawn = [this](awaitable<void> work) {
+    boost::asio::co_spawn(context_, std::move(work), boost::asio::detached);
+  };
+  std::visit(overloaded{
+                 [&](const weight_stager::fetch& order) {
+                   spawn(Fetch(order));
+                 },
+                 [&](const weight_stager::stage& order) {
+                   spawn(Stage(order));
+                 },
+                 [&](const weight_stager::verify&) { spawn(Verify()); },
+                 [&](const weight_stager::load&) { spawn(Load()); },
+             },
+             action);
+}
+
+awaitable<void> stager::Prepare() {
+  for (;;) {
+    const bool known = co_await ReadConfiguration();
+    if (known) {
+      break;
+    }
+    co_await Pause(kRetryPause);
+  }
+  co_await FollowTarget();
+}
+
+awaitable<bool> stager::ReadConfiguration() {
+  const std::string kind = platform::kConfigurationKind;
+  const auto listed = co_await store_.List(kind, true, kStoreTimeout);
+  if (!IsOk(listed)) {
+    co_return false;
+  }
+  for (const platform::store_object& object : ValueOf(listed).objects) {
+    const auto decoded = platform::DecodeDeployment(object.content);
+    if (!IsOk(decoded)) {
+      continue;
+    }
+    const deployment& catalog = ValueOf(decoded);
+    const service_profile* service = catalog.FindService(settings_.service);
+    if (service == nullptr || !service->engine ||
+        service->engine->models.empty()) {
+      continue;
+    }
+    for (const auto& [name, other] : catalog.services) {
+      const auto endpoint =
+          other.origin ? ParseHttpEndpoint(other.origin->address)
+                       : std::nullopt;
+      if (endpoint) {
+        model_ = service->engine->models.front();
+        origin_region_ = settings_.RegionOf(other.origin->data_centre);
+        origin_ =
+            std::make_unique<platform::origin_client>(context_, *endpoint);
+        co_return true;
+      }
+    }
+  }
+  co_return false;
+}
+
+awaitable<void> stager::FollowTarget() {
+  // A replica that was there at the start may hold the first version.
+  bool first = true;
+  time_point peers_read;
+  for (;;) {
+    const std::uint64_t wanted = std::max(named_, kFirstVersion);
+    if (wanted > core_.core().target() && (load_ || !first)) {
+      const bool begun = co_await BeginTarget(wanted);
+      if (!begun) {
+        co_await Pause(kRetryPause);
+        continue;
+      }
+      first = false;
+      peers_read = MonotonicNow();
+    } else if (!core_.core().IsFetched() &&
+               MonotonicNow() - peers_read > kPeerInterval) {
+      co_await RefreshPeers();
+      peers_read = MonotonicNow();
+    }
+    co_await Pause(kTargetCheckInterval);
+  }
+}
+
+awaitable<bool> stager::BeginTarget(std::uint64_t version) {
+  const auto listed =
+      co_await origin_->ReadChunkList(model_, version, kChunkTimeout);
+  if (!IsOk(listed)) {
+    LogLine("event=manifest_failed version=" + std::to_string(version) +
+            " reason=\"" + ErrorOf(listed).detail + "\"");
+    co_return false;
+  }
+  const platform::chunk_list& list = ValueOf(listed);
+  const bool may_be_staged = core_.core().target() == 0;
+  chunks_.Reset(version, list.digests);
+  co_await RefreshPeers();
+  LogLine("event=target version=" + std::to_string(version) +
+          " chunks=" + std::to_string(list.digests.size()));
+  const weight_stager::target_named target{version, list.digests.size(),
+                                           may_be_staged};
+  core_.Handle(target);
+  co_return true;
+}
+
+awaitable<void> stager::RefreshPeers() {
+  const std::string kind = platform::kUpstreamKind;
+  const auto listed = co_await store_.List(kind, true, kStoreTimeout);
+  if (!IsOk(listed)) {
+    co_return;
+  }
+  weight_stager::peers_changed change;
+  change.origin_region = origin_region_;
+  for (const platform::store_object& object : ValueOf(listed).objects) {
+    const auto entry = platform::DecodeUpstream(object.name, object.content);
+    const auto endpoint =
+        entry ? ParseHttpEndpoint(entry->address) : std::nullopt;
+    if (!endpoint || entry->service != settings_.service || entry->draining) {
+      continue;
+    }
+    const auto held = entry->model_versions.find(model_);
+    const bool holds = held != entry->model_versions.end() &&
+                       held->second == chunks_.version();
+    change.peers.push_back({endpoint->address,
+                            settings_.RegionOf(entry->data_centre), holds});
+  }
+  core_.Handle(change);
+}
+
+awaitable<void> stager::Fetch(weight_stager::fetch order) {
+  const std::uint64_t version = chunks_.version();
+  const std::size_t chunk = order.chunk;
+  result<std::string> bytes = error{error_kind::kNotFound, ""};
+  if (order.source.kind == source_kind::kOwnReplica) {
+    bytes = co_await engine_.ReadStaged(model_, chunk, kOwnReplicaTimeout);
+  } else if (order.source.kind == source_kind::kOrigin) {
+    bytes =
+        co_await origin_->ReadChunk(model_, version, chunk, kChunkTimeout);
+  } else {
+    const http_endpoint peer{order.source.address, settings_.Chunks().port};
+    http_request request;
+    request.target = ChunkPath(version, chunk);
+    const auto answer =
+        co_await peers_.Request(peer, std::move(request), kChunkTimeout);
+    if (!IsOk(answer)) {
+      bytes = ErrorOf(answer);
+    } else if (ValueOf(answer).status == kStatusOk) {
+      bytes = ValueOf(answer).body;
+    } else if (ValueOf(answer).status != kStatusNotFound) {
+      bytes = error{error_kind::kUpstreamFailed, "refused by the peer"};
+    }
+  }
+  if (version != chunks_.version()) {
+    co_return;  // superseded
+  }
+  weight_stager::fetch_ended ended;
+  ended.chunk = chunk;
+  ended.source = order.source;
+  if (!IsOk(bytes)) {
+    ended.how = ErrorOf(bytes).kind == error_kind::kNotFound
+                    ? weight_stager::fetch_result::kMissing
+                    : weight_stager::fetch_result::kFailed;
+  } else if (!chunks_.Put(chunk, ValueOf(std::move(bytes)))) {
+    ended.how = weight_stager::fetch_result::kFailed;
+  }
+  static const char* const kSources[] = {"own", "peer", "origin"};
+  counters_.Count("chunks_total",
+                  {{"source", kSources[static_cast<int>(order.source.kind)]},
+                   {"ok", ended.how == weight_stager::fetch_result::kFetched
+                              ? "1"
+                              : "0"}});
+  core_.Handle(ended);
+}
+
+awaitable<void> stager::Stage(weight_stager::stage order) {
+  const std::uint64_t version = chunks_.version();
+  const auto bytes = chunks_.Get(order.chunk);
+  bool staged = false;
+  if (bytes) {
+    std::string copy = *bytes;
+    const status done = co_await engine_.Stage(
+        model_, order.chunk, std::move(copy), kOwnReplicaTimeout);
+    staged = IsOk(done);
+  }
+  if (version == chunks_.version()) {
+    const weight_stager::stage_ended ended{order.chunk, staged};
+    core_.Handle(ended);
+  }
+}
+
+awaitable<void> stager::Verify() {
+  const std::uint64_t version = chunks_.version();
+  weight_stager::verify_ended ended;
+  for (std::size_t i = 0; i < chunks_.size(); ++i) {
+    const auto bytes =
+        co_await engine_.ReadStaged(model_, i, kOwnReplicaTimeout);
+    if (version != chunks_.version()) {
+      co_return;  // superseded
+    }
+    if (!IsOk(bytes) || !chunks_.Matches(i, ValueOf(bytes))) {
+      ended.spoilt.push_back(i);
+    }
+  }
+  if (!ended.spoilt.empty()) {
+    LogLine("event=staged_chunks_spoilt version=" + std::to_string(version) +
+            " count=" + std::to_string(ended.spoilt.size()));
+  }
+  core_.Handle(ended);
+}
+
+awaitable<void> stager::Load() {
+  const std::uint64_t version = chunks_.version();
+  const auto answer =
+      co_await engine_.Load(model_, version, kOwnReplicaTimeout);
+  weight_stager::load_ended ended;
+  ended.accepted =
+      IsOk(answer) && ValueOf(answer) != platform::load_answer::kBusy;
+  LogLine("event=load_ordered version=" + std::to_string(version) +
+          " accepted=" + (ended.accepted ? "1" : "0") +
+          (IsOk(answer) ? "" : " reason=\"" + ErrorOf(answer).detail + "\""));
+  if (version == chunks_.version()) {
+    core_.Handle(ended);
+  }
+}
+
+awaitable<void> stager::Pause(duration length) {
+  boost::asio::steady_timer timer(context_, length);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
+}  // namespace fireflyslip
--- /dev/null
+++ b/src/stager/stager_daemon.cc
@@ -0,0 +1,60 @@
+#include "stager/stager_daemon.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <random>
+
+#include "fireflyslip/http.h"
+#include "fireflyslip/runtime.h"
+#include "stager/stager.h"
+
+namespace fireflyslip {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitCannotListen = 1;
+
+boost::asio::awaitable<void> ServeMetrics(const metrics& counters,
+                                          response_writer& writer) {
+  http_response response;
+  response.body = counters.Render();
+  co_await writer.Send(std::move(response));
+}
+
+int Fail(const error& problem) {
+  LogLine("event=start_failed reason=\"" + problem.detail + "\"");
+  return kExitCannotListen;
+}
+
+}  // namespace
+
+int RunStager(const node_settings& settings) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);
+  boost::asio::io_context context(1);
+  metrics counters;
+  stager agent(context, settings, counters, std::random_device{}());
+  const status started = agent.Start();
+  if (!IsOk(started)) {
+    return Fail(ErrorOf(started));
+  }
+  http_server metrics_server(
+      context, {}, [&counters](http_request, response_writer& writer) {
+        return ServeMetrics(counters, writer);
+      });
+  const auto served = metrics_server.Listen(settings.Metrics());
+  if (!IsOk(served)) {
+    return Fail(ErrorOf(served));
+  }
+  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait(
+      [&context](const boost::system::error_code&, int) { context.stop(); });
+  LogLine("event=start role=stager vm=" + settings.vm.value() +
+          " data_centre=" + settings.data_centre.value());
+  context.run();
+  LogLine("event=stop role=stager vm=" + settings.vm.value());
+  return kExitOk;
+}
+
+}  // namespace fireflyslip
--- /dev/null
+++ b/src/staging/weight_stager.cc
@@ -0,0 +1,242 @@
+#include "fireflyslip/staging/weight_stager.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "fireflyslip/core/rendezvous.h"
+#include "fireflyslip/core/result.h"
+
+namespace fireflyslip {
+
+std::vector<weight_stager::action> weight_stager::Handle(const event& event,
+                                                         time_point now) {
+  now_ = now;
+  actions_.clear();
+  std::visit([this](const auto& happened) { On(happened); }, event);
+  Advance();
+  return std::exchange(actions_, {});
+}
+
+std::optional<time_point> weight_stager::NextDeadline() const {
+  std::optional<time_point> earliest;
+  const auto consider = [&](time_point moment) {
+    earliest = earliest ? std::min(*earliest, moment) : moment;
+  };
+  if (fetching_ < policy_.parallel_fetches && !peers_.empty()) {
+    for (const chunk_state& chunk : chunks_) {
+      if (chunk.phase == chunk_phase::kMissing) {
+        consider(chunk.not_before);
+      }
+    }
+  }
+  if (order_ == order_phase::kNone && AllStaged() && !IsServing() &&
+      !replica_.loading) {
+    consider(order_not_before_);
+  }
+  return earliest;
+}
+
+bool weight_stager::IsFetched() const {
+  return !chunks_.empty() &&
+         std::none_of(chunks_.begin(), chunks_.end(),
+                      [](const chunk_state& chunk) {
+                        return chunk.phase == chunk_phase::kMissing ||
+                               chunk.phase == chunk_phase::kFetching;
+                      });
+}
+
+void weight_stager::On(const tick& /*event*/) {}
+
+void weight_stager::On(const target_named& event) {
+  if (event.version <= target_.version) {
+    return;
+  }
+  target_ = event;
+  named_at_ = now_;
+  own_replica_first_ = event.may_be_staged;
+  chunks_.assign(event.chunks, chunk_state{});
+  fetching_ = 0;
+  order_ = order_phase::kNone;
+  order_not_before_ = now_;
+}
+
+void weight_stager::On(const peers_changed& event) {
+  peers_ = event.peers;
+  origin_region_ = event.origin_region;
+}
+
+void weight_stager::On(const fetch_ended& event) {
+  if (event.chunk >= chunks_.size()) {
+    return;
+  }
+  chunk_state& chunk = chunks_[event.chunk];
+  if (chunk.phase != chunk_phase::kFetching) {
+    return;
+  }
+  --fetching_;
+  const bool own = event.source.kind == source_kind::kOwnReplica;
+  switch (event.how) {
+    case fetch_result::kFetched:
+      chunk.phase = own ? chunk_phase::kStaged : chunk_phase::kFetched;
+      return;
+    case fetch_result::kMissing:
+      chunk.not_before = now_ + policy_.missing_pause;
+      ++chunk.misses;
+      break;
+    case fetch_result::kFailed:
+      chunk.not_before = now_ + policy_.failure_pause;
+      ++chunk.failures;
+      break;
+  }
+  if (own) {
+    chunk = {};
+    own_replica_first_ = false;
+  }
+  chunk.phase = chunk_phase::kMissing;
+}
+
+void weight_stager::On(const stage_ended& event) {
+  if (event.chunk >= chunks_.size()) {
+    return;
+  }
+  chunk_state& chunk = chunks_[event.chunk];
+  if (chunk.phase != chunk_phase::kStaging) {
+    return;
+  }
+  chunk.phase = event.staged ? chunk_phase::kStaged : chunk_phase::kFetched;
+  if (!event.staged) {
+    chunk.not_before = now_ + policy_.failure_pause;
+  }
+}
+
+void weight_stager::On(const verify_ended& event) {
+  if (order_ != order_phase::kVerifying) {
+    return;
+  }
+  order_ = order_phase::kNone;
+  for (const std::size_t index : event.spoilt) {
+    if (index < chunks_.size()) {
+      chunks_[index].phase = chunk_phase::kFetched;
+    }
+  }
+  if (event.spoilt.empty()) {
+    order_ = order_phase::kOrdering;
+    actions_.emplace_back(load{});
+  }
+}
+
+void weight_stager::On(const load_ended& event) {
+  if (order_ != order_phase::kOrdering) {
+    return;
+  }
+  order_ = order_phase::kNone;
+  // An accepted order is seen in the next observation of the replica.
+  order_not_before_ = now_ + policy_.order_pause;
+  if (event.accepted) {
+    replica_.loading = true;
+  }
+}
+
+void weight_stager::On(const replica_observed& event) {
+  // A replica that lost its weights serves nothing, so it does not wait for
+  // its wave.
+  if (replica_known_ && replica_.version != 0 && event.version == 0) {
+    order_not_before_ = now_;
+  }
+  replica_ = event;
+  replica_known_ = true;
+}
+
+void weight_stager::Advance() {
+  if (target_.version == 0) {
+    return;
+  }
+  StageNext();
+  FetchNext();
+  OrderNext();
+}
+
+void weight_stager::FetchNext() {
+  if (peers_.empty() && !own_replica_first_) {
+    return;
+  }
+  // Agents begin with different chunks, so that they do not all wait for the
+  // same source.
+  const std::size_t count = chunks_.size();
+  const std::size_t first =
+      count == 0 ? 0 : RendezvousScore("first", self_.address) % count;
+  for (std::size_t i = 0;
+       i < count && fetching_ < policy_.parallel_fetches; ++i) {
+    const std::size_t index = (first + i) % count;
+    chunk_state& chunk = chunks_[index];
+    if (chunk.phase != chunk_phase::kMissing || chunk.not_before > now_) {
+      continue;
+    }
+    chunk.phase = chunk_phase::kFetching;
+    ++fetching_;
+    actions_.emplace_back(fetch{index, SourceOf(index)});
+  }
+}
+
+void weight_stager::StageNext() {
+  for (std::size_t index = 0; index < chunks_.size(); ++index) {
+    chunk_state& chunk = chunks_[index];
+    if (chunk.phase == chunk_phase::kFetched && chunk.not_before <= now_) {
+      chunk.phase = chunk_phase::kStaging;
+      actions_.emplace_back(stage{index});
+    }
+  }
+}
+
+void weight_stager::OrderNext() {
+  if (order_ != order_phase::kNone || !replica_known_ || replica_.loading ||
+      IsServing() || !AllStaged()) {
+    return;
+  }
+  if (replica_.version != 0 && IsSecondWave()) {
+    order_not_before_ =
+        std::max(order_not_before_, named_at_ + policy_.second_wave_after);
+  }
+  if (order_not_before_ > now_) {
+    return;
+  }
+  order_ = order_phase::kVerifying;
+  actions_.emplace_back(verify{});
+}
+
+bool weight_stager::AllStaged() const {
+  return !chunks_.empty() &&
+         std::all_of(chunks_.begin(), chunks_.end(),
+                     [](const chunk_state& chunk) {
+                       return chunk.phase == chunk_phase::kStaged;
+                     });
+}
+
+bool weight_stager::IsSecondWave() const {
+  std::vector<vm_id> nearby{vm_id(self_.address)};
+  for (const staging_peer& peer : peers_) {
+    if (peer.region == self_.region && peer.address != self_.address) {
+      nearby.emplace_back(peer.address);
+    }
+  }
+  const std::string key = "wave/" + std::to_string(target_.version);
+  const std::vector<vm_id> order = RendezvousOrder(key, std::move(nearby));
+  const auto found =
+      std::find(order.begin(), order.end(), vm_id(self_.address));
+  return static_cast<std::size_t>(found - order.begin()) * 2 >= order.size();
+}
+
+staging_source weight_stager::SourceOf(std::size_t chunk) const {
+  if (own_replica_first_) {
+    return {source_kind::kOwnReplica, ""};
+  }
+  const std::vector<staging_source> sources =
+      ChunkSources(chunk, self_, peers_, origin_region_);
+  const chunk_state& state = chunks_[chunk];
+  const std::size_t step =
+      state.misses / policy_.asks_of_source + state.failures;
+  return sources[step % sources.size()];
+}
+
+}  // namespace fireflyslip
