Deal chunks in turn and pace them to a share of the link

Reserved places in the queue of a link outlived the requests that had timed out.

Ruled out: the origin (two copies in all, 1.3 s each at its rate).

Change: chunks are dealt to the agents of a region in turn instead of by hash, so that all pass on the same number; each agent begins with those that it brings in; a link that is taken for longer than 0.8 s refuses; what waits for a superseded version is dropped.

--- a/include/fireflyslip/staging/chunk_sources.h
+++ b/include/fireflyslip/staging/chunk_sources.h
@@ -46,6 +46,13 @@
     const std::vector<staging_peer>& peers,
     const region_id& origin_region);
 
+/// \brief Order in which `self` fetches chunks: those that it brings into its
+/// region first, because others wait for them. The others follow in the order
+/// in which they come, each agent beginning at another fetcher.
+std::vector<std::size_t> FetchOrder(std::size_t chunks,
+                                    const staging_peer& self,
+                                    const std::vector<staging_peer>& peers);
+
 }  // namespace fireflyslip
 
 #endif  // FIREFLYSLIP_STAGING_CHUNK_SOURCES_H_
--- a/include/fireflyslip/staging/weight_stager.h
+++ b/include/fireflyslip/staging/weight_stager.h
@@ -17,13 +17,17 @@
 
 /// \brief Constants of the staging of weights.
 struct staging_policy {
-  /// Transfers at a time; a few fill the link of a VM.
-  std::size_t parallel_fetches = 6;
+  /// Transfers at a time. Most of them wait at a peer for a chunk that is on
+  /// its way there; those that run share the link of the VM with streams.
+  std::size_t parallel_fetches = 10;
+  /// Transfers from the origin at a time. Chunks that arrive one after the
+  /// other can be passed on while the next ones come.
+  std::size_t parallel_from_origin = 1;
   /// Pause after a source did not have the chunk. It has been asked to wait.
   duration missing_pause = milliseconds(30);
   duration failure_pause = milliseconds(150);
   /// A source that does not have the chunk yet is asked this often.
-  std::size_t asks_of_source = 4;
+  std::size_t asks_of_source = 2;
   /// Pause after an order that could not be carried out.
   duration order_pause = milliseconds(300);
   /// Time after the naming of a version at which the second half of the
@@ -153,11 +157,13 @@
 
   void Advance();
   void FetchNext();
+  void StartFetch(std::size_t chunk, const staging_source& source);
   void StageNext();
   void OrderNext();
   bool AllStaged() const;
   bool IsSecondWave() const;
-  staging_source SourceOf(std::size_t chunk) const;
+  const staging_source& SourceOf(std::size_t chunk) const;
+  void PlanSources();
 
   staging_policy policy_;
   staging_peer self_;
@@ -167,7 +173,10 @@
   time_point named_at_;
   bool own_replica_first_ = false;
   std::vector<chunk_state> chunks_;
+  std::vector<std::vector<staging_source>> sources_;  // by chunk
+  std::vector<std::size_t> fetch_order_;
   std::size_t fetching_ = 0;
+  std::size_t fetching_from_origin_ = 0;
   replica_observed replica_;
   bool replica_known_ = false;
   order_phase order_ = order_phase::kNone;
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -75,6 +75,9 @@
   if (auto length = reader.Number("retry_window_s", false, number_range{})) {
     settings.retry_window = FromSeconds(*length);
   }
+  if (auto rate = reader.Number("link_mbps", false, number_range{})) {
+    settings.link_mbps = *rate;
+  }
   constexpr double kLargestAllowance = 1e6;
   if (auto count = reader.Number("retry_allowance", false,
                                  {0, true, kLargestAllowance, true})) {
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -31,6 +31,7 @@
   /// metrics; the same on all VMs.
   std::uint16_t first_internal_port = 0;
   http_endpoint platform;
+  double link_mbps = 1000;  ///< Rate of the link of the VM.
   duration drain_timeout = seconds(8);
   /// Time after which a revoked key must not be accepted any more.
   duration key_revocation = seconds(5);
--- a/src/stager/chunk_server.cc
+++ b/src/stager/chunk_server.cc
@@ -1,5 +1,6 @@
 #include "stager/chunk_server.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -7,6 +8,8 @@
 #include <optional>
 #include <utility>
 
+#include "fireflyslip/runtime/process_clock.h"
+
 namespace fireflyslip {
 namespace {
 
@@ -17,8 +20,10 @@
 constexpr int kStatusNotFound = 404;
 /// A request for a chunk that is not here yet is answered after this time, so
 /// that it need not be repeated at once.
-constexpr milliseconds kLongestWait{400};
-constexpr milliseconds kCheckInterval{25};
+constexpr milliseconds kLongestWait{1200};
+/// Chunks that wait for the link longer than this are better had elsewhere. With
+/// the wait above it stays below the time-out of the peer.
+constexpr milliseconds kLongestQueue{800};
 
 struct chunk_name {
   std::uint64_t version = 0;
@@ -60,9 +65,11 @@
 }
 
 chunk_server::chunk_server(boost::asio::io_context& context,
-                           const chunk_store& chunks)
+                           const chunk_store& chunks,
+                           double bytes_per_second)
     : context_(context),
       chunks_(chunks),
+      bytes_per_second_(bytes_per_second),
       server_(context, {}, [this](http_request request,
                                   response_writer& writer) {
         return Serve(std::move(request), writer);
@@ -72,28 +79,61 @@
   return server_.Listen(endpoint);
 }
 
+void chunk_server::NotifyChanged(std::size_t chunk) {
+  const auto [first, last] = waiting_.equal_range(chunk);
+  for (auto at = first; at != last; ++at) {
+    at->second->cancel();
+  }
+}
+
+void chunk_server::NotifyAllChanged() {
+  link_free_at_ = {};  // what waits for the link is not wanted any more
+  for (const auto& [chunk, timer] : waiting_) {
+    timer->cancel();
+  }
+}
+
 awaitable<void> chunk_server::Serve(http_request request,
                                     response_writer& writer) {
   const std::optional<chunk_name> name = ParsePath(request.path());
   http_response response;
   response.status = kStatusNotFound;
-  duration waited{0};
-  while (name && waited < kLongestWait && chunks_.version() <= name->version) {
+  const time_point end = MonotonicNow() + kLongestWait;
+  while (name && MonotonicNow() < end && chunks_.version() <= name->version) {
     const auto bytes = chunks_.version() == name->version
                            ? chunks_.Get(name->index)
                            : nullptr;
     if (bytes) {
-      response.status = kStatusOk;
-      response.body = *bytes;
+      const bool paced = co_await Pace(bytes->size());
+      if (paced && chunks_.version() == name->version) {
+        response.status = kStatusOk;
+        response.body = *bytes;
+      }
       break;
     }
-    boost::asio::steady_timer timer(context_, kCheckInterval);
+    boost::asio::steady_timer timer(context_, end - MonotonicNow());
+    const auto waiter = waiting_.emplace(name->index, &timer);
     boost::system::error_code ignored;
     co_await timer.async_wait(
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-    waited += kCheckInterval;
+    waiting_.erase(waiter);
   }
   co_await writer.Send(std::move(response));
 }
 
+awaitable<bool> chunk_server::Pace(std::size_t bytes) {
+  const time_point now = MonotonicNow();
+  const time_point begin = std::max(now, link_free_at_);
+  if (begin - now > kLongestQueue) {
+    co_return false;
+  }
+  link_free_at_ =
+      begin + FromSeconds(static_cast<double>(bytes) / bytes_per_second_);
+  boost::asio::steady_timer timer(context_, begin - now);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  co_return true;
+}
+
 }  // namespace fireflyslip
--- a/src/stager/chunk_server.h
+++ b/src/stager/chunk_server.h
@@ -3,7 +3,9 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <map>
 #include <string>
 
 #include "fireflyslip/http.h"
@@ -18,16 +20,30 @@
 /// is still on its way waits a little for it.
 class chunk_server {
  public:
-  chunk_server(boost::asio::io_context& context, const chunk_store& chunks);
+  /// \param bytes_per_second rate at which chunks are sent, all together.
+  chunk_server(boost::asio::io_context& context,
+               const chunk_store& chunks,
+               double bytes_per_second);
 
   result<unsigned short> Listen(const http_endpoint& endpoint);
 
+  /// \brief Wakes the requests that wait for a chunk.
+  void NotifyChanged(std::size_t chunk);
+  /// \brief Wakes all requests: another version is distributed.
+  void NotifyAllChanged();
+
  private:
   boost::asio::awaitable<void> Serve(http_request request,
                                      response_writer& writer);
+  /// \brief Waits until the link is free for so many bytes; false if that
+  /// takes too long, so that the peer had better ask another one.
+  boost::asio::awaitable<bool> Pace(std::size_t bytes);
 
   boost::asio::io_context& context_;
   const chunk_store& chunks_;
+  std::multimap<std::size_t, boost::asio::steady_timer*> waiting_;
+  const double bytes_per_second_;
+  time_point link_free_at_;
   http_server server_;
 };
 
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -29,6 +29,14 @@
 /// One chunk takes 42 ms on an idle link of a VM; several share it.
 constexpr milliseconds kChunkTimeout{2500};
 constexpr milliseconds kOwnReplicaTimeout{1000};
+/// Share of the link of a VM that chunks may use; the streams of the replica
+/// need the rest, without long pauses between events.
+constexpr double kLinkShare = 0.85;
+
+double ChunkRate(const node_settings& settings) {
+  constexpr double kBytesPerMegabit = 125'000;
+  return settings.link_mbps * kBytesPerMegabit * kLinkShare;
+}
 
 }  // namespace
 
@@ -43,7 +51,7 @@
       store_(context, settings.platform),
       engine_(context, *settings.engine),
       peers_(context),
-      chunk_server_(context, chunks_),
+      chunk_server_(context, chunks_, ChunkRate(settings)),
       publisher_(context,
                  settings_,
                  engine_,
@@ -198,13 +206,18 @@
   const auto listed =
       co_await origin_->ReadChunkList(model_, version, kChunkTimeout);
   if (!IsOk(listed)) {
-    LogLine("event=manifest_failed version=" + std::to_string(version) +
-            " reason=\"" + ErrorOf(listed).detail + "\"");
+    if (!manifest_failed_) {
+      LogLine("event=manifest_failed version=" + std::to_string(version) +
+              " reason=\"" + ErrorOf(listed).detail + "\"");
+    }
+    manifest_failed_ = true;
     co_return false;
   }
   const platform::chunk_list& list = ValueOf(listed);
+  manifest_failed_ = false;
   const bool may_be_staged = core_.core().target() == 0;
   chunks_.Reset(version, list.digests);
+  chunk_server_.NotifyAllChanged();
   co_await RefreshPeers();
   LogLine("event=target version=" + std::to_string(version) +
           " chunks=" + std::to_string(list.digests.size()));
@@ -274,6 +287,9 @@
   } else if (!chunks_.Put(chunk, ValueOf(std::move(bytes)))) {
     ended.how = weight_stager::fetch_result::kFailed;
   }
+  if (ended.how == weight_stager::fetch_result::kFetched) {
+    chunk_server_.NotifyChanged(chunk);
+  }
   static const char* const kSources[] = {"own", "peer", "origin"};
   counters_.Count("chunks_total",
                   {{"source", kSources[static_cast<int>(order.source.kind)]},
--- a/src/stager/stager.h
+++ b/src/stager/stager.h
@@ -68,6 +68,7 @@
   model_name model_;
   std::uint64_t named_ = 0;  // newest version that operators named
   std::optional<upstream_load> load_;
+  bool manifest_failed_ = false;  // the last attempt to read one
 };
 
 }  // namespace fireflyslip
--- a/src/staging/chunk_sources.cc
+++ b/src/staging/chunk_sources.cc
@@ -25,6 +25,16 @@
   return order;
 }
 
+/// Key of the order in which the agents of a region take chunks in turn.
+constexpr char kOrderKey[] = "fetchers";
+
+/// The agent of the group that brings a chunk in. Chunks are dealt in turn, so
+/// that all agents bring and pass on the same number.
+std::string Fetcher(std::size_t chunk, const std::vector<staging_peer>& group) {
+  const std::vector<std::string> order = Order(kOrderKey, group);
+  return order[chunk % order.size()];
+}
+
 template <typename Condition>
 std::vector<staging_peer> Select(const std::vector<staging_peer>& peers,
                                  Condition condition) {
@@ -61,8 +71,7 @@
         return peer.address != self.address;
       });
   all.push_back(self);
-  const std::string key = std::to_string(chunk);
-  const std::string own_key = key + "/" + self.address;
+  const std::string own_key = std::to_string(chunk) + "/" + self.address;
   const auto nearby = Select(all, [&](const staging_peer& peer) {
     return peer.region == self.region;
   });
@@ -70,10 +79,10 @@
   std::vector<staging_source> sources;
   Append(Order(own_key, Select(nearby, holds)), self.address, sources);
 
-  const std::vector<std::string> local = Order(key, nearby);
-  const bool is_local_fetcher = local.front() == self.address;
-  if (!is_local_fetcher) {
-    Append({local.front()}, self.address, sources);
+  const std::string local_fetcher = Fetcher(chunk, nearby);
+  if (local_fetcher != self.address) {
+    Append({local_fetcher}, self.address, sources);
+    Append(Order(own_key, nearby), self.address, sources);
   }
   Append(Order(own_key, Select(all, holds)), self.address, sources);
   auto at_origin = Select(all, [&](const staging_peer& peer) {
@@ -82,13 +91,39 @@
   if (at_origin.empty()) {
     at_origin = all;
   }
-  const std::vector<std::string> remote = Order(key, at_origin);
-  if (remote.front() != self.address) {
-    Append({remote.front()}, self.address, sources);
-    Append(local, self.address, sources);
+  const std::string first_fetcher = Fetcher(chunk, at_origin);
+  if (first_fetcher != self.address) {
+    Append({first_fetcher}, self.address, sources);
+    Append(Order(own_key, nearby), self.address, sources);
   }
   sources.push_back({source_kind::kOrigin, ""});
   return sources;
 }
 
+std::vector<std::size_t> FetchOrder(std::size_t chunks,
+                                    const staging_peer& self,
+                                    const std::vector<staging_peer>& peers) {
+  std::vector<staging_peer> nearby =
+      Select(peers, [&](const staging_peer& peer) {
+        return peer.region == self.region && peer.address != self.address;
+      });
+  nearby.push_back(self);
+  const std::vector<std::string> order = Order(kOrderKey, nearby);
+  const auto own = static_cast<std::size_t>(
+      std::find(order.begin(), order.end(), self.address) - order.begin());
+  const std::size_t width = order.size();
+  std::vector<std::size_t> first;
+  std::vector<std::size_t> others;
+  for (std::size_t row = 0; row < chunks; row += width) {
+    for (std::size_t i = 0; i < width; ++i) {
+      const std::size_t chunk = row + (own + i) % width;
+      if (chunk < chunks) {
+        (i == 0 ? first : others).push_back(chunk);
+      }
+    }
+  }
+  first.insert(first.end(), others.begin(), others.end());
+  return first;
+}
+
 }  // namespace fireflyslip
--- a/src/staging/weight_stager.cc
+++ b/src/staging/weight_stager.cc
@@ -57,13 +57,16 @@
   own_replica_first_ = event.may_be_staged;
   chunks_.assign(event.chunks, chunk_state{});
   fetching_ = 0;
+  fetching_from_origin_ = 0;
   order_ = order_phase::kNone;
   order_not_before_ = now_;
+  PlanSources();
 }
 
 void weight_stager::On(const peers_changed& event) {
   peers_ = event.peers;
   origin_region_ = event.origin_region;
+  PlanSources();
 }
 
 void weight_stager::On(const fetch_ended& event) {
@@ -75,6 +78,7 @@
     return;
   }
   --fetching_;
+  fetching_from_origin_ -= event.source.kind == source_kind::kOrigin ? 1 : 0;
   const bool own = event.source.kind == source_kind::kOwnReplica;
   switch (event.how) {
     case fetch_result::kFetched:
@@ -161,24 +165,30 @@
   if (peers_.empty() && !own_replica_first_) {
     return;
   }
-  // Agents begin with different chunks, so that they do not all wait for the
-  // same source.
-  const std::size_t count = chunks_.size();
-  const std::size_t first =
-      count == 0 ? 0 : RendezvousScore("first", self_.address) % count;
-  for (std::size_t i = 0;
-       i < count && fetching_ < policy_.parallel_fetches; ++i) {
-    const std::size_t index = (first + i) % count;
-    chunk_state& chunk = chunks_[index];
+  for (const std::size_t index : fetch_order_) {
+    if (fetching_ >= policy_.parallel_fetches) {
+      return;
+    }
+    const chunk_state& chunk = chunks_[index];
     if (chunk.phase != chunk_phase::kMissing || chunk.not_before > now_) {
       continue;
     }
-    chunk.phase = chunk_phase::kFetching;
-    ++fetching_;
-    actions_.emplace_back(fetch{index, SourceOf(index)});
+    const staging_source& source = SourceOf(index);
+    if (source.kind != source_kind::kOrigin ||
+        fetching_from_origin_ < policy_.parallel_from_origin) {
+      StartFetch(index, source);
+    }
   }
 }
 
+void weight_stager::StartFetch(std::size_t chunk,
+                               const staging_source& source) {
+  chunks_[chunk].phase = chunk_phase::kFetching;
+  ++fetching_;
+  fetching_from_origin_ += source.kind == source_kind::kOrigin ? 1 : 0;
+  actions_.emplace_back(fetch{chunk, source});
+}
+
 void weight_stager::StageNext() {
   for (std::size_t index = 0; index < chunks_.size(); ++index) {
     chunk_state& chunk = chunks_[index];
@@ -227,12 +237,20 @@
   return static_cast<std::size_t>(found - order.begin()) * 2 >= order.size();
 }
 
-staging_source weight_stager::SourceOf(std::size_t chunk) const {
+void weight_stager::PlanSources() {
+  sources_.clear();
+  for (std::size_t chunk = 0; chunk < chunks_.size(); ++chunk) {
+    sources_.push_back(ChunkSources(chunk, self_, peers_, origin_region_));
+  }
+  fetch_order_ = FetchOrder(chunks_.size(), self_, peers_);
+}
+
+const staging_source& weight_stager::SourceOf(std::size_t chunk) const {
+  static const staging_source kOwnReplica{source_kind::kOwnReplica, ""};
   if (own_replica_first_) {
-    return {source_kind::kOwnReplica, ""};
+    return kOwnReplica;
   }
-  const std::vector<staging_source> sources =
-      ChunkSources(chunk, self_, peers_, origin_region_);
+  const std::vector<staging_source>& sources = sources_[chunk];
   const chunk_state& state = chunks_[chunk];
   const std::size_t step =
       state.misses / policy_.asks_of_source + state.failures;
