Announce loads, batch watches and reset abandoned connections

Change: an agent reports that it will load 350 ms before it does; watches pause 300 ms after changes and last longer; upstream connections are reset on close.

--- a/include/fireflyslip/http/http_client.h
+++ b/include/fireflyslip/http/http_client.h
@@ -62,6 +62,10 @@
   duration max_idle_time = seconds(20);
   std::size_t idle_connections = 8;  ///< For each endpoint.
   std::size_t body_bytes = 64UL << 20;
+  /// Whether connections are reset when they are closed. Bytes of a request
+  /// that wait behind a partition would else arrive when it heals, long after
+  /// the request was given up.
+  bool reset_on_close = false;
 
   auto operator<=>(const http_client_bounds&) const = default;
 };
--- a/include/fireflyslip/staging/weight_stager.h
+++ b/include/fireflyslip/staging/weight_stager.h
@@ -30,6 +30,9 @@
   std::size_t asks_of_source = 2;
   /// Pause after an order that could not be carried out.
   duration order_pause = milliseconds(300);
+  /// Time between the announcement of a load and its order. Entries stop
+  /// sending in it, so that no request waits at the replica for the load.
+  duration announce_time = milliseconds(350);
   /// Time after the naming of a version at which the second half of the
   /// replicas change to it. The first half changes as soon as it can, so that
   /// only half of the capacity is missing at a time.
@@ -112,6 +115,11 @@
 
     auto operator<=>(const stage&) const = default;
   };
+  /// \brief Tell the entries to send no more requests, because the replica
+  /// will load.
+  struct announce {
+    auto operator<=>(const announce&) const = default;
+  };
   /// \brief Read all staged chunks back and compare their digests.
   struct verify {
     auto operator<=>(const verify&) const = default;
@@ -120,7 +128,7 @@
   struct load {
     auto operator<=>(const load&) const = default;
   };
-  using action = std::variant<fetch, stage, verify, load>;
+  using action = std::variant<fetch, stage, announce, verify, load>;
 
   weight_stager(staging_policy policy, staging_peer self)
       : policy_(policy), self_(std::move(self)) {}
@@ -131,6 +139,8 @@
   std::uint64_t target() const { return target_.version; }
   /// \brief Whether all chunks of the target have been fetched.
   bool IsFetched() const;
+  /// \brief Whether entries should send no requests, because of a load.
+  bool IsAboutToLoad() const { return order_ != order_phase::kNone; }
   /// \brief Whether the replica serves the target.
   bool IsServing() const {
     return target_.version > 0 && replica_.version == target_.version;
@@ -144,7 +154,7 @@
     std::size_t misses = 0;
     std::size_t failures = 0;
   };
-  enum class order_phase { kNone, kVerifying, kOrdering };
+  enum class order_phase { kNone, kAnnounced, kVerifying, kOrdering };
 
   void On(const tick& event);
   void On(const target_named& event);
--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -20,9 +20,12 @@
 /// Lengths of the watches. The age of keys must stay far below the time after
 /// which a revoked key must not be accepted; upstreams and versions are noticed
 /// at once and only a silent connection is found at the end of a watch.
-constexpr seconds kConfigurationWait{2};
-constexpr seconds kUpstreamWait{4};
-constexpr seconds kVersionWait{5};
+constexpr milliseconds kConfigurationWait{2400};
+constexpr seconds kUpstreamWait{8};
+constexpr seconds kVersionWait{15};
+/// Changes of upstreams come in series; a leaving one must get no more work
+/// after two seconds.
+constexpr milliseconds kUpstreamBatch{300};
 
 }  // namespace
 
@@ -41,17 +44,17 @@
                 }),
       configurations_(context,
                       settings.platform,
-                      {platform::kConfigurationKind, kConfigurationWait},
+                      {platform::kConfigurationKind, kConfigurationWait, duration(0)},
                       ConfigurationHandlers(),
                       seed + 1),
       upstreams_(context,
                  settings.platform,
-                 {platform::kUpstreamKind, kUpstreamWait},
+                 {platform::kUpstreamKind, kUpstreamWait, kUpstreamBatch},
                  UpstreamHandlers(),
                  seed + 2),
       versions_(context,
                 settings.platform,
-                {platform::kVersionKind, kVersionWait},
+                {platform::kVersionKind, kVersionWait, duration(0)},
                 VersionHandlers(),
                 seed + 3) {}
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -48,6 +48,7 @@
   http_client_bounds bounds;
   bounds.connect_timeout = kConnectTimeout;
   bounds.idle_connections = kIdleConnections;
+  bounds.reset_on_close = true;
   return bounds;
 }
 
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -202,6 +202,9 @@
       co_return Failed(endpoint, error_kind::kNoUpstream, code.message());
     }
     SetSocketOptions(stream->socket());
+    if (bounds_.reset_on_close) {
+      stream->socket().set_option(asio::socket_base::linger(true, 0), code);
+    }
     co_return stream;
   }
 
--- a/src/node/kind_watch.cc
+++ b/src/node/kind_watch.cc
@@ -85,6 +85,9 @@
       freshness_.ConfirmRead(sent);
     }
     on_.on_confirmed(freshness_);
+    if (!changes.changes.empty() && what_.batch.count() > 0) {
+      co_await Sleep(what_.batch);
+    }
   }
 }
 
@@ -96,8 +99,11 @@
       std::min<duration>(kLongestPause,
                          kFirstPause * (1 << std::min(failures_ - 1, 4)));
   const auto half = static_cast<std::uint64_t>(longest.count() / 2);
-  boost::asio::steady_timer timer(context_);
-  timer.expires_after(duration(half + random_.Below(half)));
+  co_await Sleep(duration(half + random_.Below(half)));
+}
+
+awaitable<void> kind_watch::Sleep(duration length) {
+  boost::asio::steady_timer timer(context_, length);
   boost::system::error_code ignored;
   co_await timer.async_wait(
       boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
--- a/src/node/kind_watch.h
+++ b/src/node/kind_watch.h
@@ -26,6 +26,9 @@
     /// Length of one watch. Each one is a call that is paid for; a change is
     /// noticed at once, but a store that is cut off only at its end.
     duration wait = seconds(2);
+    /// Pause after changes, so that several that follow each other are read by
+    /// one call.
+    duration batch = milliseconds(0);
 
     bool operator==(const settings&) const = default;
   };
@@ -51,6 +54,7 @@
   boost::asio::awaitable<bool> List();
   boost::asio::awaitable<void> Follow();
   boost::asio::awaitable<void> Pause();
+  boost::asio::awaitable<void> Sleep(duration length);
   void NoteFailure(const error& problem);
   void NoteContact();
 
--- a/src/stager/load_publisher.cc
+++ b/src/stager/load_publisher.cc
@@ -106,7 +106,15 @@
   }
 }
 
+void load_publisher::SetAboutToLoad(bool about_to_load) {
+  if (about_to_load_ != about_to_load) {
+    about_to_load_ = about_to_load;
+    Send(last_);
+  }
+}
+
 void load_publisher::Send(const upstream_load& load) {
+  last_ = load;
   const time_point now = MonotonicNow();
   std::erase_if(subscribers_, [now](const auto& item) {
     return item.second.heard + kSubscriptionLifetime < now;
@@ -118,6 +126,7 @@
   report.engine = settings_.engine->address + ":" +
                   std::to_string(settings_.engine->port);
   report.load = load;
+  report.load.loading |= about_to_load_;
   report.load.entries = static_cast<std::uint32_t>(subscribers_.size());
   const std::vector<std::uint8_t> datagram = EncodeLoadMessage(report);
   for (const auto& [entry, subscriber] : subscribers_) {
--- a/src/stager/load_publisher.h
+++ b/src/stager/load_publisher.h
@@ -30,6 +30,10 @@
   /// \brief Binds the socket and starts; fails if the address cannot be bound.
   status Start();
 
+  /// \brief Whether reports say that the replica loads although it does not
+  /// yet. A change is reported at once.
+  void SetAboutToLoad(bool about_to_load);
+
  private:
   boost::asio::awaitable<void> ReceiveSubscriptions();
   boost::asio::awaitable<void> Poll();
@@ -46,6 +50,8 @@
   };
   std::map<vm_id, subscriber> subscribers_;
   bool reachable_ = true;
+  bool about_to_load_ = false;
+  upstream_load last_;
 };
 
 }  // namespace fireflyslip
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -20,7 +20,8 @@
 constexpr int kStatusNotFound = 404;
 /// Versions begin here; replicas may hold this one before any is named.
 constexpr std::uint64_t kFirstVersion = 1;
-constexpr seconds kVersionWait{5};
+/// A silent connection is found by its probes, not by the end of a watch.
+constexpr seconds kVersionWait{20};
 constexpr milliseconds kStoreTimeout{1000};
 constexpr milliseconds kRetryPause{200};
 /// Peers are read again while a version is on its way.
@@ -58,7 +59,7 @@
                  [this](const upstream_load& load) { OnLoad(load); }),
       versions_(context,
                 settings.platform,
-                {platform::kVersionKind, kVersionWait},
+                {platform::kVersionKind, kVersionWait, duration(0)},
                 VersionHandlers(),
                 seed),
       core_(weight_stager({}, {settings.address, settings.region, false}),
@@ -116,6 +117,7 @@
   const auto found = load.model_versions.find(model_);
   core_.Handle(weight_stager::replica_observed{
       found == load.model_versions.end() ? 0 : found->second, load.loading});
+  publisher_.SetAboutToLoad(core_.core().IsAboutToLoad());
 }
 
 void stager::Apply(const weight_stager::action& action) {
@@ -129,6 +131,9 @@
                  [&](const weight_stager::stage& order) {
                    spawn(Stage(order));
                  },
+                 [&](const weight_stager::announce&) {
+                   publisher_.SetAboutToLoad(true);
+                 },
                  [&](const weight_stager::verify&) { spawn(Verify()); },
                  [&](const weight_stager::load&) { spawn(Load()); },
              },
--- a/src/staging/weight_stager.cc
+++ b/src/staging/weight_stager.cc
@@ -30,8 +30,9 @@
       }
     }
   }
-  if (order_ == order_phase::kNone && AllStaged() && !IsServing() &&
-      !replica_.loading) {
+  const bool idle = order_ == order_phase::kNone && AllStaged() &&
+                    !IsServing() && !replica_.loading;
+  if (idle || order_ == order_phase::kAnnounced) {
     consider(order_not_before_);
   }
   return earliest;
@@ -200,6 +201,13 @@
 }
 
 void weight_stager::OrderNext() {
+  if (order_ == order_phase::kAnnounced) {
+    if (order_not_before_ <= now_) {
+      order_ = order_phase::kVerifying;
+      actions_.emplace_back(verify{});
+    }
+    return;
+  }
   if (order_ != order_phase::kNone || !replica_known_ || replica_.loading ||
       IsServing() || !AllStaged()) {
     return;
@@ -211,8 +219,14 @@
   if (order_not_before_ > now_) {
     return;
   }
-  order_ = order_phase::kVerifying;
-  actions_.emplace_back(verify{});
+  if (replica_.version == 0) {
+    order_ = order_phase::kVerifying;
+    actions_.emplace_back(verify{});
+    return;
+  }
+  order_ = order_phase::kAnnounced;
+  order_not_before_ = now_ + policy_.announce_time;
+  actions_.emplace_back(announce{});
 }
 
 bool weight_stager::AllStaged() const {
