--- a/include/fireflyslip/catalog/version_targets.h
+++ b/include/fireflyslip/catalog/version_targets.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "fireflyslip/core/ids.h"
@@ -33,6 +34,11 @@
   /// \brief Newest named version; 0 if none is known.
   std::uint64_t Newest(const model_name& model) const;
 
+  /// \brief Moment at which a version is superseded and requests must have
+  /// begun on it; empty while no newer one is named.
+  std::optional<time_point> EndOf(const model_name& model,
+                                  std::uint64_t version) const;
+
   /// \brief Lowest version on which a request may begin; 0 if any.
   std::uint64_t Lowest(const model_name& model, time_point now) const;
 
--- a/include/fireflyslip/placement/dispatcher.h
+++ b/include/fireflyslip/placement/dispatcher.h
@@ -50,7 +50,8 @@
     service_name service;
     model_name model;  ///< Empty for plain services.
     workspace_id workspace;
-    int priority = 0;  ///< 0 is the most urgent.
+    int priority = 0;  ///< Order of waiting requests; 0 is the first.
+    int urgency = 0;   ///< Priority of the kind of request; 0 is the first.
     double cost = 1;   ///< Any unit that is the same for all requests.
     bool returning = false;  ///< Was refused or interrupted before.
     time_point wait_until;   ///< Placed by then or refused.
@@ -104,6 +105,8 @@
     work_id id = 0;
     upstream_entry upstream;
     std::uint64_t version = 0;  ///< Weights it is known to serve; 0: unknown.
+    /// The request must have begun by then; those weights are superseded.
+    std::optional<time_point> begin_by;
 
     bool operator==(const start&) const = default;
   };
@@ -127,10 +130,6 @@
   std::size_t waiting() const { return waiting_.size(); }
   /// \brief Entries that share the replicas, by the newest report; at least 1.
   std::size_t entries() const { return entries_; }
-  /// \brief Whether requests for the model can begin at all at present.
-  std::uint64_t LowestVersion(const model_name& model, time_point now) const {
-    return targets_.Lowest(model, now);
-  }
 
  private:
   struct upstream_state {
--- a/include/fireflyslip/placement/placement_policy.h
+++ b/include/fireflyslip/placement/placement_policy.h
@@ -40,6 +40,9 @@
   /// Added for an upstream whose reports have stopped; it may be cut off.
   duration silence_penalty = milliseconds(250);
 
+  /// Time for which a request may wait at a replica before it begins.
+  duration begin_reserve = milliseconds(700);
+
   /// Bounds and spread of the delay after which a refused caller returns.
   duration min_retry_after = milliseconds(250);
   duration max_retry_after = milliseconds(1500);
--- a/src/catalog/version_targets.cc
+++ b/src/catalog/version_targets.cc
@@ -24,6 +24,21 @@
              : found->second.back().version;
 }
 
+std::optional<time_point> version_targets::EndOf(
+    const model_name& model,
+    std::uint64_t version) const {
+  const auto found = models_.find(model);
+  if (found == models_.end()) {
+    return std::nullopt;
+  }
+  for (const named& entry : found->second) {
+    if (entry.version > version) {
+      return entry.since + rollout_;
+    }
+  }
+  return std::nullopt;
+}
+
 std::uint64_t version_targets::Lowest(const model_name& model,
                                       time_point now) const {
   const auto found = models_.find(model);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -53,6 +53,13 @@
   return answer;
 }
 
+/// Orders by workspace, then by route.
+int CombinedPriority(int workspace, int route) {
+  constexpr int kLevels = 3;
+  return std::clamp(workspace, 0, kLevels - 1) * kLevels +
+         std::clamp(route, 0, kLevels - 1);
+}
+
 std::string Milliseconds(std::optional<duration> value) {
   return value ? std::to_string(value->count() / 1000) : "-";
 }
@@ -139,7 +146,7 @@
   if (route_ == nullptr) {
     return error{error_kind::kNotFound, "no route"};
   }
-  priority_ = route_->priority;
+  priority_ = CombinedPriority(route_->priority, route_->priority);
   double sum = 0;
   for (const weighted_service& part : route_->services) {
     sum += part.weight;
@@ -174,7 +181,8 @@
     return error{error_kind::kUnauthorized, "unknown key"};
   }
   workspace_ = grant->workspace;
-  priority_ = grant->priority.value_or(priority_);
+  priority_ = CombinedPriority(grant->priority.value_or(route_->priority),
+                               route_->priority);
   return std::nullopt;
 }
 
@@ -215,6 +223,7 @@
   work.model = call_.model;
   work.workspace = workspace_;
   work.priority = priority_;
+  work.urgency = route_->priority;
   work.cost = Cost();
   work.returning = !first;
   work.wait_until = std::min(end_, now + wait);
@@ -268,8 +277,13 @@
     co_return report;
   }
   const bool repeatable = route_->repeat != repeat_rule::kNonIdempotent;
-  const duration allowed =
+  duration allowed =
       repeatable ? std::min(SilenceBound(), TimeLeft()) : TimeLeft();
+  const bool must_begin = repeatable && placed_->begin_by &&
+                          *placed_->begin_by - started < allowed;
+  if (must_begin) {
+    allowed = std::max(*placed_->begin_by - started, duration(0));
+  }
   const duration max_idle = repeatable ? duration(kIdleConnection)
                                        : duration(kFreshConnection);
   canceller_ = std::make_shared<call_canceller>();
@@ -278,6 +292,9 @@
       *endpoint, std::move(message), allowed, max_idle, canceller_);
   if (!IsOk(opened)) {
     attempt_report report = BrokenReport(started, allowed, ErrorOf(opened));
+    if (must_begin && report.health == attempt_end::kUnreachable) {
+      report.health = attempt_end::kAbandoned;
+    }
     if (report.fate != attempt_fate::kNotSent) {
       ++history_.may_have_run;
     }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -85,7 +85,7 @@
   const route* route_ = nullptr;  // in catalog_
   service_name service_;
   workspace_id workspace_;
-  int priority_ = 0;
+  int priority_ = 0;  // that of the workspace goes before that of the route
 
   time_point received_;
   time_point end_;  // of the client's patience and the route's timeout
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -32,9 +32,9 @@
 constexpr double kAllowanceShare = 0.5;
 /// Entries that are assumed when no report has told their number.
 constexpr std::size_t kAssumedEntries = 16;
-/// Part of the rollout time after which no request is sent to a superseded
-/// version; the rest is for requests that wait at a replica.
-constexpr double kRolloutShare = 0.87;
+/// Part of the rollout time within which requests may begin on a superseded
+/// version; the rest is for the news of a version and for the way to a replica.
+constexpr double kRolloutShare = 0.95;
 /// Share of the rollout time that counts as passed for a version that was named
 /// before this process started.
 constexpr double kRestartShare = 0.55;
--- a/src/placement/dispatcher.cc
+++ b/src/placement/dispatcher.cc
@@ -175,8 +175,9 @@
     upstream->in_flight.emplace(id, now_);
     started_.emplace(id, upstream->entry.id);
     CountStart(queue);
-    actions_.emplace_back(
-        start{id, upstream->entry, VersionOf(*upstream, request.model)});
+    const std::uint64_t version = VersionOf(*upstream, request.model);
+    actions_.emplace_back(start{id, upstream->entry, version,
+                                targets_.EndOf(request.model, version)});
   }
 }
 
@@ -189,8 +190,11 @@
   if (request.model.empty()) {
     return true;
   }
+  // A request may wait at a replica, so that none is sent to one whose weights
+  // are about to be superseded.
   const std::uint64_t version = VersionOf(upstream, request.model);
-  if (version == 0 || version < targets_.Lowest(request.model, now_)) {
+  if (version == 0 || version < targets_.Lowest(request.model,
+                                                now_ + policy_.begin_reserve)) {
     return false;
   }
   return !request.version || *request.version == version;
@@ -220,7 +224,7 @@
     const double load = ExpectedLoad(upstream);
     const double allowance = request.model.empty()
                                  ? kPlainAllowance
-                                 : Allowance(request.priority);
+                                 : Allowance(request.urgency);
     if (load >= static_cast<double>(upstream.entry.slots) + allowance) {
       continue;
     }
--- a/src/stager/chunk_server.cc
+++ b/src/stager/chunk_server.cc
@@ -16,6 +16,7 @@
 using boost::asio::awaitable;
 
 constexpr std::string_view kPrefix = "/chunks/";
+constexpr std::string_view kManifestPrefix = "/manifests/";
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
 /// A request for a chunk that is not here yet is answered after this time, so
@@ -64,6 +65,27 @@
          std::to_string(index);
 }
 
+std::string ManifestPath(std::uint64_t version) {
+  return std::string(kManifestPrefix) + std::to_string(version);
+}
+
+std::optional<std::vector<digest>> ParseManifestText(std::string_view text) {
+  std::vector<digest> digests;
+  while (!text.empty()) {
+    const std::string_view line = text.substr(0, text.find('\n'));
+    text.remove_prefix(std::min(text.size(), line.size() + 1));
+    const std::optional<digest> name = digest::FromHex(line);
+    if (!name) {
+      return std::nullopt;
+    }
+    digests.push_back(*name);
+  }
+  if (digests.empty()) {
+    return std::nullopt;
+  }
+  return digests;
+}
+
 chunk_server::chunk_server(boost::asio::io_context& context,
                            const chunk_store& chunks,
                            double bytes_per_second)
@@ -98,6 +120,12 @@
   const std::optional<chunk_name> name = ParsePath(request.path());
   http_response response;
   response.status = kStatusNotFound;
+  if (request.path() == ManifestPath(chunks_.version())) {
+    response.status = kStatusOk;
+    for (const digest& name : chunks_.digests()) {
+      response.body += name.ToHex() + "\n";
+    }
+  }
   const time_point end = MonotonicNow() + kLongestWait;
   while (name && MonotonicNow() < end && chunks_.version() <= name->version) {
     const auto bytes = chunks_.version() == name->version
--- a/src/stager/chunk_server.h
+++ b/src/stager/chunk_server.h
@@ -6,7 +6,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "fireflyslip/http.h"
 #include "stager/chunk_store.h"
@@ -16,6 +19,12 @@
 /// \brief Path under which agents serve a chunk to each other.
 std::string ChunkPath(std::uint64_t version, std::size_t index);
 
+/// \brief Path under which agents serve the digests of a version.
+std::string ManifestPath(std::uint64_t version);
+
+/// \brief Parses the digests that are served under `ManifestPath()`.
+std::optional<std::vector<digest>> ParseManifestText(std::string_view text);
+
 /// \brief Serves chunks to the agents of other VMs. A request for a chunk that
 /// is still on its way waits a little for it.
 class chunk_server {
--- a/src/stager/chunk_store.h
+++ b/src/stager/chunk_store.h
@@ -23,6 +23,7 @@
 
   std::uint64_t version() const { return version_; }
   std::size_t size() const { return digests_.size(); }
+  const std::vector<digest>& digests() const { return digests_; }
 
   /// \brief Whether the bytes are those of the chunk.
   bool Matches(std::size_t index, const std::string& bytes) const {
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -24,6 +24,7 @@
 constexpr seconds kVersionWait{20};
 constexpr milliseconds kStoreTimeout{1000};
 constexpr milliseconds kRetryPause{200};
+constexpr milliseconds kManifestTimeout{600};
 /// Peers are read again while a version is on its way.
 constexpr milliseconds kPeerInterval{1500};
 constexpr milliseconds kTargetCheckInterval{50};
@@ -87,6 +88,7 @@
     for (const platform::store_object& object : listing.objects) {
       OnNamed(object);
     }
+    versions_known_ = true;
   };
   on.on_change = [this](const platform::store_change& change) {
     if (!change.removed) {
@@ -190,7 +192,8 @@
   time_point peers_read;
   for (;;) {
     const std::uint64_t wanted = std::max(named_, kFirstVersion);
-    if (wanted > core_.core().target() && (load_ || !first)) {
+    if (wanted > core_.core().target() && versions_known_ &&
+        (load_ || !first)) {
       const bool begun = co_await BeginTarget(wanted);
       if (!begun) {
         co_await Pause(kRetryPause);
@@ -208,8 +211,11 @@
 }
 
 awaitable<bool> stager::BeginTarget(std::uint64_t version) {
-  const auto listed =
-      co_await origin_->ReadChunkList(model_, version, kChunkTimeout);
+  auto listed =
+      co_await origin_->ReadChunkList(model_, version, kManifestTimeout);
+  if (!IsOk(listed)) {
+    listed = co_await ReadChunkListFromPeers(version);
+  }
   if (!IsOk(listed)) {
     if (!manifest_failed_) {
       LogLine("event=manifest_failed version=" + std::to_string(version) +
@@ -232,6 +238,29 @@
   co_return true;
 }
 
+awaitable<result<platform::chunk_list>> stager::ReadChunkListFromPeers(
+    std::uint64_t version) {
+  result<platform::chunk_list> list =
+      error{error_kind::kNotFound, "neither the origin nor a peer answers"};
+  co_await RefreshPeers();
+  const std::vector<std::string> addresses = known_peers_;
+  for (const std::string& address : addresses) {
+    const http_endpoint peer{address, settings_.Chunks().port};
+    http_request request;
+    request.target = ManifestPath(version);
+    const auto answer =
+        co_await peers_.Request(peer, std::move(request), kManifestTimeout);
+    if (IsOk(answer) && ValueOf(answer).status == kStatusOk) {
+      const auto digests = ParseManifestText(ValueOf(answer).body);
+      if (digests) {
+        list = platform::chunk_list{version, *digests};
+        break;
+      }
+    }
+  }
+  co_return list;
+}
+
 awaitable<void> stager::RefreshPeers() {
   const std::string kind = platform::kUpstreamKind;
   const auto listed = co_await store_.List(kind, true, kStoreTimeout);
@@ -239,6 +268,7 @@
     co_return;
   }
   weight_stager::peers_changed change;
+  known_peers_.clear();
   change.origin_region = origin_region_;
   for (const platform::store_object& object : ValueOf(listed).objects) {
     const auto entry = platform::DecodeUpstream(object.name, object.content);
@@ -250,6 +280,9 @@
     const auto held = entry->model_versions.find(model_);
     const bool holds = held != entry->model_versions.end() &&
                        held->second == chunks_.version();
+    if (endpoint->address != settings_.address) {
+      known_peers_.push_back(endpoint->address);
+    }
     change.peers.push_back({endpoint->address,
                             settings_.RegionOf(entry->data_centre), holds});
   }
--- a/src/stager/stager.h
+++ b/src/stager/stager.h
@@ -5,6 +5,8 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "fireflyslip/catalog.h"
 #include "fireflyslip/http.h"
@@ -44,6 +46,8 @@
   boost::asio::awaitable<bool> ReadConfiguration();
   boost::asio::awaitable<void> FollowTarget();
   boost::asio::awaitable<bool> BeginTarget(std::uint64_t version);
+  boost::asio::awaitable<result<platform::chunk_list>> ReadChunkListFromPeers(
+      std::uint64_t version);
   boost::asio::awaitable<void> RefreshPeers();
   boost::asio::awaitable<void> Fetch(weight_stager::fetch order);
   boost::asio::awaitable<void> Stage(weight_stager::stage order);
@@ -67,7 +71,9 @@
   region_id origin_region_;
   model_name model_;
   std::uint64_t named_ = 0;  // newest version that operators named
+  bool versions_known_ = false;
   std::optional<upstream_load> load_;
+  std::vector<std::string> known_peers_;  // addresses
   bool manifest_failed_ = false;  // the last attempt to read one
 };
 
