Finish a version before the next one and read the own replica again

Change: a newer version replaces the target once the replica was ordered to load it or it stalls for 1.2 s; a failed read of the own replica is repeated; a spoilt or missing chunk affects only itself. Background requests leave two slots of a replica free for urgent ones.

--- a/include/fireflyslip/placement/placement_policy.h
+++ b/include/fireflyslip/placement/placement_policy.h
@@ -17,7 +17,7 @@
   /// last one holds for all further priorities. The replica admits urgent
   /// requests first, so that these may wait there behind fewer others. One
   /// request of the last priority keeps the batch full between two reports.
-  std::array<double, 3> queue_allowance = {8, 3, 2};
+  std::array<double, 3> queue_allowance = {4, 1, -2};
 
   /// A load report older than this is not used. Reports come every 100 ms;
   /// a few may be lost.
--- a/include/fireflyslip/staging/weight_stager.h
+++ b/include/fireflyslip/staging/weight_stager.h
@@ -26,6 +26,9 @@
   /// Pause after a source did not have the chunk. It has been asked to wait.
   duration missing_pause = milliseconds(30);
   duration failure_pause = milliseconds(150);
+  /// Reads of the own replica that may fail before others are asked; it may
+  /// be restarting.
+  std::size_t own_replica_failures = 3;
   /// A source that does not have the chunk yet is asked this often.
   std::size_t asks_of_source = 2;
   /// Pause after an order that could not be carried out.
@@ -33,6 +36,9 @@
   /// Time between the announcement of a load and its order. Entries stop
   /// sending in it, so that no request waits at the replica for the load.
   duration announce_time = milliseconds(350);
+  /// Time without progress after which a newer version replaces one that is
+  /// not loaded yet.
+  duration stall_time = milliseconds(1200);
   /// Time after the naming of a version at which the second half of the
   /// replicas change to it. The first half changes as soon as it can, so that
   /// only half of the capacity is missing at a time.
@@ -45,7 +51,10 @@
 ///
 /// It fetches the chunks, stages them, has all staged bytes verified right
 /// before the replica is ordered to load them, and starts again when the
-/// replica has lost its weights. A newer version replaces the target at once.
+/// replica has lost its weights. A newer version replaces the target when
+/// `IsReplaceable()`: versions that follow each other quickly are each brought
+/// to the replica, because the origin may fail during the newest one and leave
+/// the replica with weights that are too old.
 class weight_stager {
  public:
   struct target_named {
@@ -141,6 +150,9 @@
   bool IsFetched() const;
   /// \brief Whether entries should send no requests, because of a load.
   bool IsAboutToLoad() const { return order_ != order_phase::kNone; }
+  /// \brief Whether the target may give way to a newer version: the replica was
+  /// ordered to load it, or it makes no progress.
+  bool IsReplaceable(time_point now) const;
   /// \brief Whether the replica serves the target.
   bool IsServing() const {
     return target_.version > 0 && replica_.version == target_.version;
@@ -153,6 +165,7 @@
     time_point not_before;
     std::size_t misses = 0;
     std::size_t failures = 0;
+    bool try_own_replica = false;
   };
   enum class order_phase { kNone, kAnnounced, kVerifying, kOrdering };
 
@@ -181,7 +194,6 @@
   region_id origin_region_;
   target_named target_;
   time_point named_at_;
-  bool own_replica_first_ = false;
   std::vector<chunk_state> chunks_;
   std::vector<std::vector<staging_source>> sources_;  // by chunk
   std::vector<std::size_t> fetch_order_;
@@ -190,6 +202,8 @@
   replica_observed replica_;
   bool replica_known_ = false;
   order_phase order_ = order_phase::kNone;
+  bool ordered_ = false;  // the replica has accepted to load the target
+  time_point progress_at_;
   time_point order_not_before_;
   time_point now_;
   std::vector<action> actions_;
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -193,9 +193,9 @@
   for (;;) {
     const std::uint64_t wanted = std::max(named_, kFirstVersion);
     if (wanted > core_.core().target() && versions_known_ &&
-        (load_ || !first)) {
+        ((load_ && load_->reachable) || !first) && core_.core().IsReplaceable(MonotonicNow())) {
       const bool begun = co_await BeginTarget(wanted);
-      if (!begun) {
+      if (!begun) {  // the present target goes on
         co_await Pause(kRetryPause);
         continue;
       }
@@ -323,7 +323,10 @@
                     ? weight_stager::fetch_result::kMissing
                     : weight_stager::fetch_result::kFailed;
   } else if (!chunks_.Put(chunk, ValueOf(std::move(bytes)))) {
-    ended.how = weight_stager::fetch_result::kFailed;
+    // The own replica does not check what is staged and keeps it spoilt.
+    ended.how = order.source.kind == source_kind::kOwnReplica
+                    ? weight_stager::fetch_result::kMissing
+                    : weight_stager::fetch_result::kFailed;
   }
   if (ended.how == weight_stager::fetch_result::kFetched) {
     chunk_server_.NotifyChanged(chunk);
--- a/src/staging/weight_stager.cc
+++ b/src/staging/weight_stager.cc
@@ -23,7 +23,7 @@
   const auto consider = [&](time_point moment) {
     earliest = earliest ? std::min(*earliest, moment) : moment;
   };
-  if (fetching_ < policy_.parallel_fetches && !peers_.empty()) {
+  if (fetching_ < policy_.parallel_fetches) {
     for (const chunk_state& chunk : chunks_) {
       if (chunk.phase == chunk_phase::kMissing) {
         consider(chunk.not_before);
@@ -47,6 +47,13 @@
                       });
 }
 
+bool weight_stager::IsReplaceable(time_point now) const {
+  const time_point waited_since = std::max(
+      progress_at_, AllStaged() ? order_not_before_ : progress_at_);
+  return target_.version == 0 || ordered_ || IsServing() ||
+         now - waited_since > policy_.stall_time;
+}
+
 void weight_stager::On(const tick& /*event*/) {}
 
 void weight_stager::On(const target_named& event) {
@@ -55,12 +62,15 @@
   }
   target_ = event;
   named_at_ = now_;
-  own_replica_first_ = event.may_be_staged;
-  chunks_.assign(event.chunks, chunk_state{});
+  chunk_state initial;
+  initial.try_own_replica = event.may_be_staged;
+  chunks_.assign(event.chunks, initial);
   fetching_ = 0;
   fetching_from_origin_ = 0;
   order_ = order_phase::kNone;
   order_not_before_ = now_;
+  ordered_ = false;
+  progress_at_ = now_;
   PlanSources();
 }
 
@@ -83,6 +93,7 @@
   const bool own = event.source.kind == source_kind::kOwnReplica;
   switch (event.how) {
     case fetch_result::kFetched:
+      progress_at_ = now_;
       chunk.phase = own ? chunk_phase::kStaged : chunk_phase::kFetched;
       return;
     case fetch_result::kMissing:
@@ -94,9 +105,9 @@
       ++chunk.failures;
       break;
   }
-  if (own) {
+  if (own && (event.how == fetch_result::kMissing ||
+              chunk.failures >= policy_.own_replica_failures)) {
     chunk = {};
-    own_replica_first_ = false;
   }
   chunk.phase = chunk_phase::kMissing;
 }
@@ -140,6 +151,7 @@
   order_not_before_ = now_ + policy_.order_pause;
   if (event.accepted) {
     replica_.loading = true;
+    ordered_ = true;
   }
 }
 
@@ -163,9 +175,6 @@
 }
 
 void weight_stager::FetchNext() {
-  if (peers_.empty() && !own_replica_first_) {
-    return;
-  }
   for (const std::size_t index : fetch_order_) {
     if (fetching_ >= policy_.parallel_fetches) {
       return;
@@ -261,11 +270,11 @@
 
 const staging_source& weight_stager::SourceOf(std::size_t chunk) const {
   static const staging_source kOwnReplica{source_kind::kOwnReplica, ""};
-  if (own_replica_first_) {
+  const chunk_state& state = chunks_[chunk];
+  if (state.try_own_replica) {
     return kOwnReplica;
   }
   const std::vector<staging_source>& sources = sources_[chunk];
-  const chunk_state& state = chunks_[chunk];
   const std::size_t step =
       state.misses / policy_.asks_of_source + state.failures;
   return sources[step % sources.size()];
