Pace chunks by what the link carries

The links of two replicas had 1.2 Mbit/s while their agents moved chunks at 8 Mbit/s; requests sent through them arrived two seconds late, after their clients had left.

Ruled out: late news of the close (the requests were sent before it).

Change: the rate of uploads follows how long they take; fewer downloads are made at a time while they are slow.

--- a/include/fireflyslip/staging/weight_stager.h
+++ b/include/fireflyslip/staging/weight_stager.h
@@ -23,6 +23,9 @@
   /// Transfers from the origin at a time. Chunks that arrive one after the
   /// other can be passed on while the next ones come.
   std::size_t parallel_from_origin = 1;
+  /// A transfer that takes longer shows that the link of the VM is full: fewer
+  /// are made at a time, so that requests to the replica are not held up.
+  duration slow_transfer = milliseconds(250);
   /// Pause after a source did not have the chunk. It has been asked to wait.
   duration missing_pause = milliseconds(30);
   duration failure_pause = milliseconds(150);
@@ -77,6 +80,8 @@
     std::size_t chunk = 0;
     staging_source source;
     fetch_result how = fetch_result::kFetched;
+    /// From the first byte to the last one.
+    duration transfer = {};
 
     bool operator==(const fetch_ended&) const = default;
   };
@@ -198,6 +203,7 @@
   std::vector<std::vector<staging_source>> sources_;  // by chunk
   std::vector<std::size_t> fetch_order_;
   std::size_t fetching_ = 0;
+  std::size_t parallel_ = 1;
   std::size_t fetching_from_origin_ = 0;
   replica_observed replica_;
   bool replica_known_ = false;
--- a/src/stager/chunk_server.cc
+++ b/src/stager/chunk_server.cc
@@ -91,7 +91,7 @@
                            double bytes_per_second)
     : context_(context),
       chunks_(chunks),
-      bytes_per_second_(bytes_per_second),
+      pacer_(bytes_per_second),
       server_(context, {}, [this](http_request request,
                                   response_writer& writer) {
         return Serve(std::move(request), writer);
@@ -109,7 +109,7 @@
 }
 
 void chunk_server::NotifyAllChanged() {
-  link_free_at_ = {};  // what waits for the link is not wanted any more
+  pacer_.Clear();
   for (const auto& [chunk, timer] : waiting_) {
     timer->cancel();
   }
@@ -125,6 +125,8 @@
     for (const digest& name : chunks_.digests()) {
       response.body += name.ToHex() + "\n";
     }
+    co_await writer.Send(std::move(response));
+    co_return;
   }
   const time_point end = MonotonicNow() + kLongestWait;
   while (name && MonotonicNow() < end && chunks_.version() <= name->version) {
@@ -146,18 +148,21 @@
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     waiting_.erase(waiter);
   }
+  const time_point sent = MonotonicNow();
+  const std::size_t size = response.body.size();
   co_await writer.Send(std::move(response));
+  if (size > 0) {
+    pacer_.Observe(size, MonotonicNow() - sent);
+  }
 }
 
 awaitable<bool> chunk_server::Pace(std::size_t bytes) {
   const time_point now = MonotonicNow();
-  const time_point begin = std::max(now, link_free_at_);
-  if (begin - now > kLongestQueue) {
+  const auto begin = pacer_.Reserve(bytes, now, kLongestQueue);
+  if (!begin) {
     co_return false;
   }
-  link_free_at_ =
-      begin + FromSeconds(static_cast<double>(bytes) / bytes_per_second_);
-  boost::asio::steady_timer timer(context_, begin - now);
+  boost::asio::steady_timer timer(context_, *begin - now);
   boost::system::error_code ignored;
   co_await timer.async_wait(
       boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
--- a/src/stager/chunk_server.h
+++ b/src/stager/chunk_server.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "fireflyslip/http.h"
+#include "fireflyslip/staging/link_pacer.h"
 #include "stager/chunk_store.h"
 
 namespace fireflyslip {
@@ -29,7 +30,7 @@
 /// is still on its way waits a little for it.
 class chunk_server {
  public:
-  /// \param bytes_per_second rate at which chunks are sent, all together.
+  /// \param bytes_per_second highest rate of all chunks together.
   chunk_server(boost::asio::io_context& context,
                const chunk_store& chunks,
                double bytes_per_second);
@@ -51,8 +52,7 @@
   boost::asio::io_context& context_;
   const chunk_store& chunks_;
   std::multimap<std::size_t, boost::asio::steady_timer*> waiting_;
-  const double bytes_per_second_;
-  time_point link_free_at_;
+  link_pacer pacer_;
   http_server server_;
 };
 
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -289,10 +289,33 @@
   core_.Handle(change);
 }
 
+awaitable<result<std::string>> stager::ReadBody(
+    std::shared_ptr<response_reader> reader) {
+  const time_point end = MonotonicNow() + kChunkTimeout;
+  std::string body;
+  while (!reader->complete()) {
+    const duration left = std::max(end - MonotonicNow(), duration(0));
+    const auto part = co_await reader->Read(left);
+    if (!IsOk(part)) {
+      co_return ErrorOf(part);
+    }
+    body += ValueOf(part);
+  }
+  reader->KeepConnection();
+  if (reader->head().status == kStatusNotFound) {
+    co_return error{error_kind::kNotFound, "not here yet"};
+  }
+  if (reader->head().status != kStatusOk) {
+    co_return error{error_kind::kUpstreamFailed, "refused by the peer"};
+  }
+  co_return body;
+}
+
 awaitable<void> stager::Fetch(weight_stager::fetch order) {
   const std::uint64_t version = chunks_.version();
   const std::size_t chunk = order.chunk;
   result<std::string> bytes = error{error_kind::kNotFound, ""};
+  duration transfer{0};
   if (order.source.kind == source_kind::kOwnReplica) {
     bytes = co_await engine_.ReadStaged(model_, chunk, kOwnReplicaTimeout);
   } else if (order.source.kind == source_kind::kOrigin) {
@@ -303,13 +326,14 @@
     http_request request;
     request.target = ChunkPath(version, chunk);
     const auto answer =
-        co_await peers_.Request(peer, std::move(request), kChunkTimeout);
-    if (!IsOk(answer)) {
+        co_await peers_.Open(peer, std::move(request), kChunkTimeout);
+    if (IsOk(answer)) {
+      const std::shared_ptr<response_reader> reader = ValueOf(answer);
+      const time_point begun = MonotonicNow();
+      bytes = co_await ReadBody(reader);
+      transfer = MonotonicNow() - begun;
+    } else {
       bytes = ErrorOf(answer);
-    } else if (ValueOf(answer).status == kStatusOk) {
-      bytes = ValueOf(answer).body;
-    } else if (ValueOf(answer).status != kStatusNotFound) {
-      bytes = error{error_kind::kUpstreamFailed, "refused by the peer"};
     }
   }
   if (version != chunks_.version()) {
@@ -318,6 +342,7 @@
   weight_stager::fetch_ended ended;
   ended.chunk = chunk;
   ended.source = order.source;
+  ended.transfer = transfer;
   if (!IsOk(bytes)) {
     ended.how = ErrorOf(bytes).kind == error_kind::kNotFound
                     ? weight_stager::fetch_result::kMissing
--- a/src/stager/stager.h
+++ b/src/stager/stager.h
@@ -49,6 +49,8 @@
   boost::asio::awaitable<result<platform::chunk_list>> ReadChunkListFromPeers(
       std::uint64_t version);
   boost::asio::awaitable<void> RefreshPeers();
+  static boost::asio::awaitable<result<std::string>> ReadBody(
+      std::shared_ptr<response_reader> reader);
   boost::asio::awaitable<void> Fetch(weight_stager::fetch order);
   boost::asio::awaitable<void> Stage(weight_stager::stage order);
   boost::asio::awaitable<void> Verify();
--- a/src/staging/weight_stager.cc
+++ b/src/staging/weight_stager.cc
@@ -23,7 +23,7 @@
   const auto consider = [&](time_point moment) {
     earliest = earliest ? std::min(*earliest, moment) : moment;
   };
-  if (fetching_ < policy_.parallel_fetches) {
+  if (fetching_ < parallel_) {
     for (const chunk_state& chunk : chunks_) {
       if (chunk.phase == chunk_phase::kMissing) {
         consider(chunk.not_before);
@@ -66,6 +66,7 @@
   initial.try_own_replica = event.may_be_staged;
   chunks_.assign(event.chunks, initial);
   fetching_ = 0;
+  parallel_ = policy_.parallel_fetches;
   fetching_from_origin_ = 0;
   order_ = order_phase::kNone;
   order_not_before_ = now_;
@@ -90,6 +91,11 @@
   }
   --fetching_;
   fetching_from_origin_ -= event.source.kind == source_kind::kOrigin ? 1 : 0;
+  if (event.transfer > policy_.slow_transfer) {
+    parallel_ = std::max<std::size_t>(1, parallel_ / 2);
+  } else if (event.how == fetch_result::kFetched) {
+    parallel_ = std::min(parallel_ + 1, policy_.parallel_fetches);
+  }
   const bool own = event.source.kind == source_kind::kOwnReplica;
   switch (event.how) {
     case fetch_result::kFetched:
@@ -176,7 +182,7 @@
 
 void weight_stager::FetchNext() {
   for (const std::size_t index : fetch_order_) {
-    if (fetching_ >= policy_.parallel_fetches) {
+    if (fetching_ >= parallel_) {
       return;
     }
     const chunk_state& chunk = chunks_[index];
