Send silent streams elsewhere after half of the clients' patience

A stream was sent to a second upstream 2.5 s after the first one fell silent; its client leaves after 3.2 s, and the way to the second one took more than the rest.

Change: the silence is half of the time after which clients of the route leave.

--- a/include/fireflyslip/catalog/deployment.h
+++ b/include/fireflyslip/catalog/deployment.h
@@ -19,7 +19,7 @@
 /// \brief Model engine behind a service.
 struct engine_profile {
   std::vector<model_name> models;
-  double step_ms = 0;            ///< One token step of a batch.
+  double step_ms = 0;  ///< One token step of a batch.
   double prompt_tokens_per_s = 0;
   std::size_t chunk_count = 0;  ///< Chunks of one model version.
   std::size_t chunk_bytes = 0;
--- a/include/fireflyslip/catalog/route_table.h
+++ b/include/fireflyslip/catalog/route_table.h
@@ -39,6 +39,7 @@
   int max_attempts = 1;        ///< Upstreams that one request may reach.
   duration timeout = {};
   duration target_latency = {};
+  duration target_gap = {};  ///< Longest pause between events of a stream.
   std::vector<weighted_service> services;  ///< Not empty.
 
   bool operator==(const route&) const = default;
--- a/include/fireflyslip/placement/attempt_policy.h
+++ b/include/fireflyslip/placement/attempt_policy.h
@@ -42,8 +42,8 @@
                       Budget&& budget) {
   /// Bounds the upstreams that are tried when several are out of reach.
   constexpr int kMaxTried = 5;
-  const bool not_run = fate == attempt_fate::kNotSent ||
-                       fate == attempt_fate::kNotRun;
+  const bool not_run =
+      fate == attempt_fate::kNotSent || fate == attempt_fate::kNotRun;
   const bool repeatable = target.repeat != repeat_rule::kNonIdempotent;
   const bool allowed =
       not_run ? history.may_have_run < target.max_attempts
--- a/include/fireflyslip/runtime/log.h
+++ b/include/fireflyslip/runtime/log.h
@@ -5,8 +5,8 @@
 
 namespace fireflyslip {
 
-/// \brief Directs logs to standard output, one line for each event. Writers never
-/// wait: lines beyond a bounded rate and queue are left out and counted.
+/// \brief Directs logs to standard output, one line for each event. Writers
+/// never wait: lines beyond a bounded rate and queue are left out and counted.
 void StartLogging();
 
 /// \brief Writes one line of key=value pairs. May be called on any thread.
--- a/include/fireflyslip/staging/chunk_sources.h
+++ b/include/fireflyslip/staging/chunk_sources.h
@@ -40,11 +40,10 @@
 /// agents that know the same peers agree on these. Peers whose replica serves
 /// the version already come first, spread by rendezvous hash.
 /// \param origin_region region of the origin; its agents draw from the origin.
-std::vector<staging_source> ChunkSources(
-    std::size_t chunk,
-    const staging_peer& self,
-    const std::vector<staging_peer>& peers,
-    const region_id& origin_region);
+std::vector<staging_source> ChunkSources(std::size_t chunk,
+                                         const staging_peer& self,
+                                         const std::vector<staging_peer>& peers,
+                                         const region_id& origin_region);
 
 /// \brief Order in which `self` fetches chunks: those that it brings into its
 /// region first, because others wait for them. The others follow in the order
--- a/src/catalog/version_targets.cc
+++ b/src/catalog/version_targets.cc
@@ -24,9 +24,8 @@
              : found->second.back().version;
 }
 
-std::optional<time_point> version_targets::EndOf(
-    const model_name& model,
-    std::uint64_t version) const {
+std::optional<time_point> version_targets::EndOf(const model_name& model,
+                                                 std::uint64_t version) const {
   const auto found = models_.find(model);
   if (found == models_.end()) {
     return std::nullopt;
--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -42,11 +42,12 @@
                   on_.on_upstreams(
                       std::get<upstream_registry::publish>(action).upstreams);
                 }),
-      configurations_(context,
-                      settings.platform,
-                      {platform::kConfigurationKind, kConfigurationWait, duration(0)},
-                      ConfigurationHandlers(),
-                      seed + 1),
+      configurations_(
+          context,
+          settings.platform,
+          {platform::kConfigurationKind, kConfigurationWait, duration(0)},
+          ConfigurationHandlers(),
+          seed + 1),
       upstreams_(context,
                  settings.platform,
                  {platform::kUpstreamKind, kUpstreamWait, kUpstreamBatch},
@@ -102,20 +103,18 @@
   };
   on.on_change = [this](const platform::store_change& change) {
     const upstream_id id(change.object.name);
-    auto entry =
-        change.removed
-            ? std::nullopt
-            : platform::DecodeUpstream(change.object.name,
-                                       change.object.content);
+    auto entry = change.removed
+                     ? std::nullopt
+                     : platform::DecodeUpstream(change.object.name,
+                                                change.object.content);
     if (!entry) {
       LogLine("event=upstream_removed upstream=" + id.value() +
               (change.removed ? " reason=left" : " reason=unreadable"));
       HandleUpstreams(upstream_registry::removed{id});
       return;
     }
-    LogLine("event=upstream_changed upstream=" + id.value() +
-            " address=" + entry->address +
-            " draining=" + (entry->draining ? "1" : "0") +
+    LogLine("event=upstream_changed upstream=" + id.value() + " address=" +
+            entry->address + " draining=" + (entry->draining ? "1" : "0") +
             " started_ms=" + std::to_string(entry->started_ms));
     HandleUpstreams(upstream_registry::changed{*std::move(entry)});
   };
@@ -147,16 +146,15 @@
   }
   result<deployment> decoded = platform::DecodeDeployment(object.content);
   if (!IsOk(decoded)) {
-    LogLine("event=configuration_rejected reason=\"" +
-            ErrorOf(decoded).detail + "\"");
+    LogLine("event=configuration_rejected reason=\"" + ErrorOf(decoded).detail +
+            "\"");
     return;
   }
   // An older version may come from a list that was read before a change.
   if (deployment_ && ValueOf(decoded).version <= deployment_->version) {
     return;
   }
-  deployment_ =
-      std::make_shared<const deployment>(ValueOf(std::move(decoded)));
+  deployment_ = std::make_shared<const deployment>(ValueOf(std::move(decoded)));
   LogLine("event=configuration_applied version=" +
           std::to_string(deployment_->version) +
           " routes=" + std::to_string(deployment_->routes.size()) +
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -24,10 +24,14 @@
 /// Wait of a broken stream for an upstream that continues it; clients give up
 /// after a gap of two seconds or more.
 constexpr milliseconds kResumeWait{1500};
-/// Silence after which a repeatable request is sent to another upstream: before
-/// the first byte it may wait in the queue of the upstream.
-constexpr milliseconds kFirstEventSilence{2500};
-constexpr milliseconds kEventSilence{1500};
+/// Clients of a stream leave after a gap of this length, or of these multiples
+/// of its target latency and longest pause, whichever is longest.
+constexpr seconds kShortestPatience{2};
+constexpr int kPatienceTargets = 4;
+constexpr int kPatienceGaps = 8;
+/// Part of the patience after which a silent stream is sent elsewhere. The other
+/// part is for the second upstream.
+constexpr double kSilenceShare = 0.5;
 /// Part of the route's timeout after which an idempotent request is sent again.
 constexpr double kPlainSilenceShare = 0.5;
 /// Remaining time below which another attempt cannot be answered.
@@ -110,12 +114,11 @@
       break;
     }
     last_failure_ = report.detail;
-    const attempt_step step =
-        NextStep(*route_, history_, report.fate, [this] {
-          return TimeLeft() > kShortestAttempt &&
-                 owner_.RetryBudget(service_).Take(MonotonicNow(),
-                                                   owner_.RetryAllowance());
-        });
+    const attempt_step step = NextStep(*route_, history_, report.fate, [this] {
+      return TimeLeft() > kShortestAttempt &&
+             owner_.RetryBudget(service_).Take(MonotonicNow(),
+                                               owner_.RetryAllowance());
+    });
     if (step != attempt_step::kTryAnother) {
       co_await AnswerFailure(step, report);
       break;
@@ -159,8 +162,7 @@
       break;
     }
   }
-  const duration patience =
-      call_.time_left.value_or(duration(kLongestRequest));
+  const duration patience = call_.time_left.value_or(duration(kLongestRequest));
   const duration bound =
       route_->timeout.count() > 0 ? route_->timeout : duration(kLongestRequest);
   end_ = received_ + std::min(patience, bound);
@@ -279,13 +281,13 @@
   const bool repeatable = route_->repeat != repeat_rule::kNonIdempotent;
   duration allowed =
       repeatable ? std::min(SilenceBound(), TimeLeft()) : TimeLeft();
-  const bool must_begin = repeatable && placed_->begin_by &&
-                          *placed_->begin_by - started < allowed;
+  const bool must_begin =
+      repeatable && placed_->begin_by && *placed_->begin_by - started < allowed;
   if (must_begin) {
     allowed = std::max(*placed_->begin_by - started, duration(0));
   }
-  const duration max_idle = repeatable ? duration(kIdleConnection)
-                                       : duration(kFreshConnection);
+  const duration max_idle =
+      repeatable ? duration(kIdleConnection) : duration(kFreshConnection);
   canceller_ = std::make_shared<call_canceller>();
   http_request message = MakeAttempt();
   const auto opened = co_await owner_.upstreams().Open(
@@ -370,10 +372,7 @@
   cursor_.Restart();
   while (!reader->complete()) {
     const time_point started = MonotonicNow();
-    const duration silence = cursor_.events() == 0
-                                 ? duration(kFirstEventSilence)
-                                 : duration(kEventSilence);
-    const duration allowed = std::min(silence, TimeLeft());
+    const duration allowed = std::min(SilenceBound(), TimeLeft());
     const auto part = co_await reader->Read(allowed);
     if (!IsOk(part)) {
       co_return BrokenReport(started, allowed, ErrorOf(part));
@@ -506,11 +505,16 @@
   return report;
 }
 
-duration exchange::TimeLeft() const { return end_ - MonotonicNow(); }
+duration exchange::TimeLeft() const {
+  return end_ - MonotonicNow();
+}
 
 duration exchange::SilenceBound() const {
   if (route_->streaming) {
-    return kFirstEventSilence;
+    const duration patience = std::max<duration>(
+        {kShortestPatience, route_->target_latency * kPatienceTargets,
+         route_->target_gap * kPatienceGaps});
+    return FromSeconds(ToSeconds(patience) * kSilenceShare);
   }
   return FromSeconds(ToSeconds(end_ - received_) * kPlainSilenceShare);
 }
@@ -527,8 +531,8 @@
   const double prompt = static_cast<double>(call_.prompt_tokens) *
                         kMillisecondsPerSecond /
                         std::max(1.0, engine.prompt_tokens_per_s);
-  const double output = static_cast<double>(call_.max_output_tokens) *
-                        engine.step_ms / kBatch;
+  const double output =
+      static_cast<double>(call_.max_output_tokens) * engine.step_ms / kBatch;
   return std::max(1.0, prompt + output);
 }
 
@@ -555,8 +559,8 @@
   line += " answered_ms=" + Milliseconds(answered_after_);
   line += " total_ms=" + Milliseconds(total);
   line += " events=" + std::to_string(cursor_.events());
-  line += " configuration=" +
-          (catalog_ ? std::to_string(catalog_->version) : "-");
+  line +=
+      " configuration=" + (catalog_ ? std::to_string(catalog_->version) : "-");
   line += " key_age_ms=" + Milliseconds(owner_.KeyAge());
   if (!last_failure_.empty()) {
     line += " failure=\"" + last_failure_ + "\"";
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -106,8 +106,8 @@
 status gateway::ListenForReports() {
   const http_endpoint where = settings_.LoadReports();
   boost::system::error_code code;
-  const udp::endpoint local(
-      boost::asio::ip::make_address(where.address, code), where.port);
+  const udp::endpoint local(boost::asio::ip::make_address(where.address, code),
+                            where.port);
   if (!code) {
     reports_.open(udp::v4(), code);
   }
@@ -161,9 +161,13 @@
   keys_known_until_ = known_until;
 }
 
-void gateway::EndConnections() { server_.EndConnections(); }
+void gateway::EndConnections() {
+  server_.EndConnections();
+}
 
-void gateway::StopAccepting() { server_.Drain(); }
+void gateway::StopAccepting() {
+  server_.Drain();
+}
 
 std::size_t gateway::requests_in_progress() const {
   return server_.requests_in_progress();
@@ -181,7 +185,9 @@
   return MonotonicNow() - *keys_known_until_;
 }
 
-void gateway::Submit(dispatcher::submit request) { Handle(std::move(request)); }
+void gateway::Submit(dispatcher::submit request) {
+  Handle(std::move(request));
+}
 
 void gateway::Handle(const dispatcher::event& event) {
   dispatcher_.Handle(event);
@@ -195,8 +201,7 @@
 
 double gateway::RetryAllowance() const {
   const std::size_t known = dispatcher_.core().entries();
-  const auto entries =
-      static_cast<double>(known > 1 ? known : kAssumedEntries);
+  const auto entries = static_cast<double>(known > 1 ? known : kAssumedEntries);
   return settings_.retry_allowance * kAllowanceShare / entries;
 }
 
@@ -224,8 +229,7 @@
     if (code) {
       continue;  // an earlier datagram found no receiver
     }
-    const auto message =
-        DecodeLoadMessage(std::span(buffer.data(), size));
+    const auto message = DecodeLoadMessage(std::span(buffer.data(), size));
     const auto* report =
         message ? std::get_if<load_report>(&*message) : nullptr;
     if (report == nullptr) {
@@ -265,8 +269,8 @@
   std::visit(
       [this](const auto& decided) {
         const auto found = exchanges_.find(decided.id);
-        constexpr bool kStarts = std::is_same_v<
-            std::decay_t<decltype(decided)>, dispatcher::start>;
+        constexpr bool kStarts =
+            std::is_same_v<std::decay_t<decltype(decided)>, dispatcher::start>;
         if constexpr (kStarts) {
           if (found == exchanges_.end()) {
             Handle(dispatcher::ended{decided.id, attempt_end::kAbandoned});
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -45,14 +45,16 @@
                                                    counters_,
                                                    seed_)),
         feed_(control_, settings, FeedHandlers(), seed_),
-        ready_server_(control_, {}, [this](http_request request,
-                                           response_writer& writer) {
-          return ServeReady(std::move(request), writer);
-        }),
-        metrics_server_(control_, {}, [this](http_request request,
-                                             response_writer& writer) {
-          return ServeMetrics(std::move(request), writer);
-        }) {}
+        ready_server_(control_,
+                      {},
+                      [this](http_request request, response_writer& writer) {
+                        return ServeReady(std::move(request), writer);
+                      }),
+        metrics_server_(control_,
+                        {},
+                        [this](http_request request, response_writer& writer) {
+                          return ServeMetrics(std::move(request), writer);
+                        }) {}
 
   int Run() {
     const auto callers = traffic_gateway_->Listen();
@@ -107,9 +109,8 @@
       });
     };
     on.on_keys_confirmed = [this](time_point known_until) {
-      traffic_.Post([this, known_until] {
-        traffic_gateway_->ConfirmKeys(known_until);
-      });
+      traffic_.Post(
+          [this, known_until] { traffic_gateway_->ConfirmKeys(known_until); });
     };
     return on;
   }
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -119,9 +119,8 @@
                                            duration timeout) {
     const auto self = shared_from_this();
     const auto end = clock_type::now() + timeout;
-    result<std::shared_ptr<response_reader>> opened =
-        co_await Open(endpoint, std::move(request), timeout,
-                      bounds_.max_idle_time, nullptr);
+    result<std::shared_ptr<response_reader>> opened = co_await Open(
+        endpoint, std::move(request), timeout, bounds_.max_idle_time, nullptr);
     if (!IsOk(opened)) {
       co_return ErrorOf(opened);
     }
@@ -377,8 +376,8 @@
   } else {
     code = co_await WriteMessage(stream, message, written);
   }
-  auto reader = std::make_shared<buffer_reader<state>>(
-      self, endpoint, stream, canceller, written);
+  auto reader = std::make_shared<buffer_reader<state>>(self, endpoint, stream,
+                                                       canceller, written);
   if (!code) {
     code = co_await reader->ReadHead(left);
   }
@@ -413,7 +412,9 @@
   state_->Forget(endpoint);
 }
 
-void http_client::Prune() { state_->Prune(); }
+void http_client::Prune() {
+  state_->Prune();
+}
 
 void http_client::set_body_limit(std::size_t bytes) {
   state_->set_body_limit(bytes);
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -31,9 +31,8 @@
 constexpr milliseconds kAcceptRetryDelay{50};
 /// A client that is out of reach holds a request for this time at most. The
 /// probes are fewer than those towards upstreams, which others wait for.
-constexpr liveness_bounds kClientLiveness{std::chrono::seconds(5),
-                                          std::chrono::seconds(2), 3,
-                                          milliseconds(6000)};
+constexpr liveness_bounds kClientLiveness{
+    std::chrono::seconds(5), std::chrono::seconds(2), 3, milliseconds(6000)};
 
 auto Into(beast::error_code& code) {
   return asio::redirect_error(asio::use_awaitable, code);
@@ -144,8 +143,8 @@
       tcp::socket& socket = stream_.socket();
       socket.async_wait(
           tcp::socket::wait_read,
-          [this, alive = alive_, on_closed = std::move(on_closed)](
-              const beast::error_code& code) {
+          [this, alive = alive_,
+           on_closed = std::move(on_closed)](const beast::error_code& code) {
             if (*alive && !done_ && (code || IsClosed())) {
               failed_ = true;
               on_closed();
@@ -343,10 +342,10 @@
     if (!code) {
       beast::get_lowest_layer(stream).expires_after(limits_.read_timeout);
       co_await http::async_read_header(stream, buffer, parser, Into(code));
-      if (!code && beast::iequals(parser.get()[http::field::expect],
-                                  "100-continue")) {
-        const http::response<http::empty_body> interim{
-            http::status::continue_, parser.get().version()};
+      if (!code &&
+          beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        const http::response<http::empty_body> interim{http::status::continue_,
+                                                       parser.get().version()};
         co_await http::async_write(stream, interim, Into(code));
       }
       if (!code && !parser.is_done()) {
--- a/src/node/kind_watch.cc
+++ b/src/node/kind_watch.cc
@@ -62,8 +62,8 @@
 awaitable<void> kind_watch::Follow() {
   for (;;) {
     const time_point sent = MonotonicNow();
-    const auto answer = co_await store_.Watch(
-        what_.kind, revision_, what_.wait, what_.wait + kCallTimeout);
+    const auto answer = co_await store_.Watch(what_.kind, revision_, what_.wait,
+                                              what_.wait + kCallTimeout);
     if (!IsOk(answer)) {
       NoteFailure(ErrorOf(answer));
       if (ErrorOf(answer).kind == error_kind::kNotFound) {
@@ -95,9 +95,8 @@
   if (failures_ == 0) {
     co_return;
   }
-  const duration longest =
-      std::min<duration>(kLongestPause,
-                         kFirstPause * (1 << std::min(failures_ - 1, 4)));
+  const duration longest = std::min<duration>(
+      kLongestPause, kFirstPause * (1 << std::min(failures_ - 1, 4)));
   const auto half = static_cast<std::uint64_t>(longest.count() / 2);
   co_await Sleep(duration(half + random_.Below(half)));
 }
--- a/src/node/load_report.cc
+++ b/src/node/load_report.cc
@@ -36,25 +36,25 @@
 
 std::vector<std::uint8_t> EncodeLoadMessage(const load_message& message) {
   json value = json::object();
-  std::visit(overloaded{
-                 [&](const load_subscription& subscription) {
-                   value[kEntry] = subscription.entry.value();
-                 },
-                 [&](const load_report& report) {
-                   value[kEngine] = report.engine;
-                   value["active"] = report.load.active;
-                   value["queued"] = report.load.queued;
-                   value["loading"] = report.load.loading;
-                   value["reachable"] = report.load.reachable;
-                   value["entries"] = report.load.entries;
-                   json& models = value["models"] = json::object();
-                   for (const auto& [model, version] :
-                        report.load.model_versions) {
-                     models[model.value()] = version;
-                   }
-                 },
-             },
-             message);
+  std::visit(
+      overloaded{
+          [&](const load_subscription& subscription) {
+            value[kEntry] = subscription.entry.value();
+          },
+          [&](const load_report& report) {
+            value[kEngine] = report.engine;
+            value["active"] = report.load.active;
+            value["queued"] = report.load.queued;
+            value["loading"] = report.load.loading;
+            value["reachable"] = report.load.reachable;
+            value["entries"] = report.load.entries;
+            json& models = value["models"] = json::object();
+            for (const auto& [model, version] : report.load.model_versions) {
+              models[model.value()] = version;
+            }
+          },
+      },
+      message);
   return json::to_cbor(value);
 }
 
--- a/src/placement/dispatcher.cc
+++ b/src/placement/dispatcher.cc
@@ -169,8 +169,7 @@
       continue;
     }
     double& virtual_time = queue.virtual_time[request.priority];
-    virtual_time =
-        std::max(virtual_time, std::get<2>(waiting_.at(id).key));
+    virtual_time = std::max(virtual_time, std::get<2>(waiting_.at(id).key));
     Remove(id);
     upstream->in_flight.emplace(id, now_);
     started_.emplace(id, upstream->entry.id);
@@ -193,8 +192,8 @@
   // A request may wait at a replica, so that none is sent to one whose weights
   // are about to be superseded.
   const std::uint64_t version = VersionOf(upstream, request.model);
-  if (version == 0 || version < targets_.Lowest(request.model,
-                                                now_ + policy_.begin_reserve)) {
+  if (version == 0 ||
+      version < targets_.Lowest(request.model, now_ + policy_.begin_reserve)) {
     return false;
   }
   return !request.version || *request.version == version;
@@ -205,8 +204,8 @@
   auto best_cost = duration::max();
   bool any_available = false;
   for (auto& [id, upstream] : upstreams_) {
-    any_available |= IsEligible(upstream, request) &&
-                     !upstream.health.is_ejected(now_);
+    any_available |=
+        IsEligible(upstream, request) && !upstream.health.is_ejected(now_);
   }
   for (auto& [id, upstream] : upstreams_) {
     if (!IsEligible(upstream, request)) {
@@ -222,9 +221,8 @@
       continue;
     }
     const double load = ExpectedLoad(upstream);
-    const double allowance = request.model.empty()
-                                 ? kPlainAllowance
-                                 : Allowance(request.urgency);
+    const double allowance =
+        request.model.empty() ? kPlainAllowance : Allowance(request.urgency);
     if (load >= static_cast<double>(upstream.entry.slots) + allowance) {
       continue;
     }
@@ -248,9 +246,8 @@
 
 std::uint64_t dispatcher::VersionOf(const upstream_state& upstream,
                                     const model_name& model) const {
-  const auto& versions = HasFreshLoad(upstream)
-                             ? upstream.load->model_versions
-                             : upstream.entry.model_versions;
+  const auto& versions = HasFreshLoad(upstream) ? upstream.load->model_versions
+                                                : upstream.entry.model_versions;
   const auto found = versions.find(model);
   return found == versions.end() ? 0 : found->second;
 }
@@ -297,8 +294,8 @@
     reachable |= IsEligible(state, entry.request);
   }
   Remove(id);
-  actions_.emplace_back(refuse{
-      id, reachable ? kind : error_kind::kNoUpstream, RetryAfter(delay)});
+  actions_.emplace_back(refuse{id, reachable ? kind : error_kind::kNoUpstream,
+                               RetryAfter(delay)});
 }
 
 void dispatcher::Remove(work_id id) {
@@ -328,8 +325,8 @@
   if (rate < kMinRate) {
     return std::nullopt;
   }
-  const auto ahead = std::distance(queue.order.begin(),
-                                   queue.order.lower_bound(key));
+  const auto ahead =
+      std::distance(queue.order.begin(), queue.order.lower_bound(key));
   return FromSeconds(static_cast<double>(ahead) / rate);
 }
 
@@ -338,8 +335,8 @@
                                              policy_.max_retry_after);
   const double factor =
       1 + policy_.retry_after_spread * (2 * random_.Fraction() - 1);
-  return duration(static_cast<duration::rep>(
-      static_cast<double>(base.count()) * factor));
+  return duration(
+      static_cast<duration::rep>(static_cast<double>(base.count()) * factor));
 }
 
 }  // namespace fireflyslip
--- a/src/runtime/log.cc
+++ b/src/runtime/log.cc
@@ -28,8 +28,8 @@
   bool Take(std::size_t& dropped) {
     const std::lock_guard lock(mutex_);
     const time_point now = MonotonicNow();
-    level_ = std::min(kLineBurst,
-                      level_ + ToSeconds(now - last_) * kLinesPerSecond);
+    level_ =
+        std::min(kLineBurst, level_ + ToSeconds(now - last_) * kLinesPerSecond);
     last_ = now;
     if (level_ < 1) {
       ++dropped_;
--- a/src/stager/chunk_server.cc
+++ b/src/stager/chunk_server.cc
@@ -22,8 +22,8 @@
 /// A request for a chunk that is not here yet is answered after this time, so
 /// that it need not be repeated at once.
 constexpr milliseconds kLongestWait{1200};
-/// Chunks that wait for the link longer than this are better had elsewhere. With
-/// the wait above it stays below the time-out of the peer.
+/// Chunks that wait for the link longer than this are better had elsewhere.
+/// With the wait above it stays below the time-out of the peer.
 constexpr milliseconds kLongestQueue{800};
 
 struct chunk_name {
@@ -92,10 +92,11 @@
     : context_(context),
       chunks_(chunks),
       pacer_(bytes_per_second),
-      server_(context, {}, [this](http_request request,
-                                  response_writer& writer) {
-        return Serve(std::move(request), writer);
-      }) {}
+      server_(context,
+              {},
+              [this](http_request request, response_writer& writer) {
+                return Serve(std::move(request), writer);
+              }) {}
 
 result<unsigned short> chunk_server::Listen(const http_endpoint& endpoint) {
   return server_.Listen(endpoint);
@@ -130,9 +131,8 @@
   }
   const time_point end = MonotonicNow() + kLongestWait;
   while (name && MonotonicNow() < end && chunks_.version() <= name->version) {
-    const auto bytes = chunks_.version() == name->version
-                           ? chunks_.Get(name->index)
-                           : nullptr;
+    const auto bytes =
+        chunks_.version() == name->version ? chunks_.Get(name->index) : nullptr;
     if (bytes) {
       const bool paced = co_await Pace(bytes->size());
       if (paced && chunks_.version() == name->version) {
--- a/src/stager/load_publisher.cc
+++ b/src/stager/load_publisher.cc
@@ -40,8 +40,8 @@
 status load_publisher::Start() {
   const http_endpoint where = settings_.LoadReports();
   boost::system::error_code code;
-  const udp::endpoint local(
-      boost::asio::ip::make_address(where.address, code), where.port);
+  const udp::endpoint local(boost::asio::ip::make_address(where.address, code),
+                            where.port);
   if (!code) {
     socket_.open(udp::v4(), code);
   }
@@ -123,8 +123,8 @@
     return;
   }
   load_report report;
-  report.engine = settings_.engine->address + ":" +
-                  std::to_string(settings_.engine->port);
+  report.engine =
+      settings_.engine->address + ":" + std::to_string(settings_.engine->port);
   report.load = load;
   report.load.loading |= about_to_load_;
   report.load.entries = static_cast<std::uint32_t>(subscribers_.size());
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -126,20 +126,17 @@
   const auto spawn = [this](awaitable<void> work) {
     boost::asio::co_spawn(context_, std::move(work), boost::asio::detached);
   };
-  std::visit(overloaded{
-                 [&](const weight_stager::fetch& order) {
-                   spawn(Fetch(order));
-                 },
-                 [&](const weight_stager::stage& order) {
-                   spawn(Stage(order));
-                 },
-                 [&](const weight_stager::announce&) {
-                   publisher_.SetAboutToLoad(true);
-                 },
-                 [&](const weight_stager::verify&) { spawn(Verify()); },
-                 [&](const weight_stager::load&) { spawn(Load()); },
-             },
-             action);
+  std::visit(
+      overloaded{
+          [&](const weight_stager::fetch& order) { spawn(Fetch(order)); },
+          [&](const weight_stager::stage& order) { spawn(Stage(order)); },
+          [&](const weight_stager::announce&) {
+            publisher_.SetAboutToLoad(true);
+          },
+          [&](const weight_stager::verify&) { spawn(Verify()); },
+          [&](const weight_stager::load&) { spawn(Load()); },
+      },
+      action);
 }
 
 awaitable<void> stager::Prepare() {
@@ -171,9 +168,9 @@
       continue;
     }
     for (const auto& [name, other] : catalog.services) {
-      const auto endpoint =
-          other.origin ? ParseHttpEndpoint(other.origin->address)
-                       : std::nullopt;
+      const auto endpoint = other.origin
+                                ? ParseHttpEndpoint(other.origin->address)
+                                : std::nullopt;
       if (endpoint) {
         model_ = service->engine->models.front();
         origin_region_ = settings_.RegionOf(other.origin->data_centre);
@@ -193,7 +190,8 @@
   for (;;) {
     const std::uint64_t wanted = std::max(named_, kFirstVersion);
     if (wanted > core_.core().target() && versions_known_ &&
-        ((load_ && load_->reachable) || !first) && core_.core().IsReplaceable(MonotonicNow())) {
+        ((load_ && load_->reachable) || !first) &&
+        core_.core().IsReplaceable(MonotonicNow())) {
       const bool begun = co_await BeginTarget(wanted);
       if (!begun) {  // the present target goes on
         co_await Pause(kRetryPause);
@@ -283,8 +281,8 @@
     if (endpoint->address != settings_.address) {
       known_peers_.push_back(endpoint->address);
     }
-    change.peers.push_back({endpoint->address,
-                            settings_.RegionOf(entry->data_centre), holds});
+    change.peers.push_back(
+        {endpoint->address, settings_.RegionOf(entry->data_centre), holds});
   }
   core_.Handle(change);
 }
@@ -319,8 +317,7 @@
   if (order.source.kind == source_kind::kOwnReplica) {
     bytes = co_await engine_.ReadStaged(model_, chunk, kOwnReplicaTimeout);
   } else if (order.source.kind == source_kind::kOrigin) {
-    bytes =
-        co_await origin_->ReadChunk(model_, version, chunk, kChunkTimeout);
+    bytes = co_await origin_->ReadChunk(model_, version, chunk, kChunkTimeout);
   } else {
     const http_endpoint peer{order.source.address, settings_.Chunks().port};
     http_request request;
@@ -357,11 +354,10 @@
     chunk_server_.NotifyChanged(chunk);
   }
   static const char* const kSources[] = {"own", "peer", "origin"};
-  counters_.Count("chunks_total",
-                  {{"source", kSources[static_cast<int>(order.source.kind)]},
-                   {"ok", ended.how == weight_stager::fetch_result::kFetched
-                              ? "1"
-                              : "0"}});
+  counters_.Count(
+      "chunks_total",
+      {{"source", kSources[static_cast<int>(order.source.kind)]},
+       {"ok", ended.how == weight_stager::fetch_result::kFetched ? "1" : "0"}});
   core_.Handle(ended);
 }
 
--- a/src/stager/stager.h
+++ b/src/stager/stager.h
@@ -76,7 +76,7 @@
   bool versions_known_ = false;
   std::optional<upstream_load> load_;
   std::vector<std::string> known_peers_;  // addresses
-  bool manifest_failed_ = false;  // the last attempt to read one
+  bool manifest_failed_ = false;          // the last attempt to read one
 };
 
 }  // namespace fireflyslip
--- a/src/staging/chunk_sources.cc
+++ b/src/staging/chunk_sources.cc
@@ -61,15 +61,13 @@
 
 }  // namespace
 
-std::vector<staging_source> ChunkSources(
-    std::size_t chunk,
-    const staging_peer& self,
-    const std::vector<staging_peer>& peers,
-    const region_id& origin_region) {
-  std::vector<staging_peer> all =
-      Select(peers, [&](const staging_peer& peer) {
-        return peer.address != self.address;
-      });
+std::vector<staging_source> ChunkSources(std::size_t chunk,
+                                         const staging_peer& self,
+                                         const std::vector<staging_peer>& peers,
+                                         const region_id& origin_region) {
+  std::vector<staging_peer> all = Select(peers, [&](const staging_peer& peer) {
+    return peer.address != self.address;
+  });
   all.push_back(self);
   const std::string own_key = std::to_string(chunk) + "/" + self.address;
   const auto nearby = Select(all, [&](const staging_peer& peer) {
--- a/src/staging/weight_stager.cc
+++ b/src/staging/weight_stager.cc
@@ -48,8 +48,8 @@
 }
 
 bool weight_stager::IsReplaceable(time_point now) const {
-  const time_point waited_since = std::max(
-      progress_at_, AllStaged() ? order_not_before_ : progress_at_);
+  const time_point waited_since =
+      std::max(progress_at_, AllStaged() ? order_not_before_ : progress_at_);
   return target_.version == 0 || ordered_ || IsServing() ||
          now - waited_since > policy_.stall_time;
 }
