Measure the way to each replica and avoid full links

The link of the second upstream that was chosen was full, too; nothing told the entry.

Change: a subscription carries the time at which it was sent, and reports return it, so that an entry knows how long the way takes. The delay is part of the expected wait, and no request is sent over a way of more than 0.6 s.

--- a/include/fireflyslip/placement/placement_policy.h
+++ b/include/fireflyslip/placement/placement_policy.h
@@ -43,6 +43,10 @@
   /// Time for which a request may wait at a replica before it begins.
   duration begin_reserve = milliseconds(700);
 
+  /// No request is sent over a way that takes longer: its client might have
+  /// left when it arrives.
+  duration longest_path_delay = milliseconds(600);
+
   /// Bounds and spread of the delay after which a refused caller returns.
   duration min_retry_after = milliseconds(250);
   duration max_retry_after = milliseconds(1500);
--- a/include/fireflyslip/placement/upstream_load.h
+++ b/include/fireflyslip/placement/upstream_load.h
@@ -6,6 +6,7 @@
 #include <map>
 
 #include "fireflyslip/core/ids.h"
+#include "fireflyslip/core/time.h"
 
 namespace fireflyslip {
 
@@ -17,6 +18,8 @@
   bool loading = false;
   bool reachable = true;      ///< The replica answers its agent.
   std::uint32_t entries = 0;  ///< Entries that receive the reports.
+  /// Time of a datagram to the agent and back, beside the time it was held.
+  duration path_delay = {};
   std::map<model_name, std::uint64_t> model_versions;
 
   auto operator<=>(const upstream_load&) const = default;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -29,8 +29,8 @@
 constexpr seconds kShortestPatience{2};
 constexpr int kPatienceTargets = 4;
 constexpr int kPatienceGaps = 8;
-/// Part of the patience after which a silent stream is sent elsewhere. The other
-/// part is for the second upstream.
+/// Part of the patience after which a silent stream is sent elsewhere. The
+/// other part is for the second upstream.
 constexpr double kSilenceShare = 0.5;
 /// Part of the route's timeout after which an idempotent request is sent again.
 constexpr double kPlainSilenceShare = 0.5;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -23,8 +23,9 @@
 /// Idle connections to one upstream; all entries share its limit.
 constexpr std::size_t kIdleConnections = 12;
 constexpr seconds kPruneInterval{2};
-/// Agents send reports for three intervals after the last subscription.
-constexpr seconds kSubscribeInterval{1};
+/// Agents send reports for three seconds after the last subscription. Each one
+/// also measures the way to the agent.
+constexpr milliseconds kSubscribeInterval{500};
 /// Share of the revocation time after which keys count as stale; the rest is
 /// for the clocks' resolution.
 constexpr double kKeyLifetimeShare = 0.96;
@@ -62,6 +63,10 @@
   return bounds;
 }
 
+std::uint64_t ClockMicroseconds() {
+  return static_cast<std::uint64_t>(MonotonicNow().time_since_epoch().count());
+}
+
 dispatcher MakeDispatcher(const node_settings& settings, std::uint64_t seed) {
   placement_policy policy;
   policy.data_centre = settings.data_centre;
@@ -237,7 +242,11 @@
     }
     const auto found = engines_.find(report->engine);
     if (found != engines_.end()) {
-      Handle(dispatcher::load_reported{found->second, report->load});
+      dispatcher::load_reported reported{found->second, report->load};
+      const std::uint64_t now = ClockMicroseconds();
+      const std::uint64_t known = report->echo_us + report->held_us;
+      reported.load.path_delay = duration(now > known ? now - known : 0);
+      Handle(reported);
     }
   }
 }
@@ -247,7 +256,7 @@
     return;
   }
   const std::vector<std::uint8_t> datagram =
-      EncodeLoadMessage(load_subscription{settings_.vm});
+      EncodeLoadMessage(load_subscription{settings_.vm, ClockMicroseconds()});
   for (const auto& [id, entry] : *upstreams_) {
     const service_profile* service = catalog_->FindService(entry.service);
     const auto endpoint = ParseHttpEndpoint(entry.address);
--- a/src/node/load_report.cc
+++ b/src/node/load_report.cc
@@ -20,10 +20,11 @@
   return found->get<std::string>();
 }
 
-std::uint32_t Count(const json& value, const char* name) {
+template <typename Number = std::uint32_t>
+Number Count(const json& value, const char* name) {
   const auto found = value.find(name);
   return found != value.end() && found->is_number_unsigned()
-             ? found->get<std::uint32_t>()
+             ? found->get<Number>()
              : 0;
 }
 
@@ -40,9 +41,12 @@
       overloaded{
           [&](const load_subscription& subscription) {
             value[kEntry] = subscription.entry.value();
+            value["sent_us"] = subscription.sent_us;
           },
           [&](const load_report& report) {
             value[kEngine] = report.engine;
+            value["echo_us"] = report.echo_us;
+            value["held_us"] = report.held_us;
             value["active"] = report.load.active;
             value["queued"] = report.load.queued;
             value["loading"] = report.load.loading;
@@ -66,7 +70,8 @@
     return std::nullopt;
   }
   if (auto entry = Text(value, kEntry)) {
-    return load_subscription{vm_id(*entry)};
+    return load_subscription{vm_id(*entry),
+                             Count<std::uint64_t>(value, "sent_us")};
   }
   auto engine = Text(value, kEngine);
   if (!engine) {
@@ -74,6 +79,8 @@
   }
   load_report report;
   report.engine = *engine;
+  report.echo_us = Count<std::uint64_t>(value, "echo_us");
+  report.held_us = Count<std::uint64_t>(value, "held_us");
   report.load.active = Count(value, "active");
   report.load.queued = Count(value, "queued");
   report.load.loading = Flag(value, "loading");
--- a/src/node/load_report.h
+++ b/src/node/load_report.h
@@ -16,13 +16,16 @@
 /// \brief An entry asks an agent for load reports for the next seconds.
 struct load_subscription {
   vm_id entry;
+  std::uint64_t sent_us = 0;  ///< On the clock of the entry.
 
   bool operator==(const load_subscription&) const = default;
 };
 
 /// \brief An agent tells the load of its replica.
 struct load_report {
-  std::string engine;  ///< `ADDRESS:PORT` of the replica.
+  std::string engine;         ///< `ADDRESS:PORT` of the replica.
+  std::uint64_t echo_us = 0;  ///< `sent_us` of the newest subscription.
+  std::uint64_t held_us = 0;  ///< Time since that subscription arrived.
   upstream_load load;
 
   bool operator==(const load_report&) const = default;
--- a/src/placement/dispatcher.cc
+++ b/src/placement/dispatcher.cc
@@ -26,7 +26,7 @@
                        random_source random)
     : policy_(std::move(policy)),
       targets_(std::move(targets)),
-      random_(std::move(random)) {}
+      random_(random) {}
 
 std::vector<dispatcher::action> dispatcher::Handle(const event& event,
                                                    time_point now) {
@@ -227,6 +227,13 @@
       continue;
     }
     duration cost = ExpectedWait(upstream, load);
+    if (fresh) {
+      // The link of the replica may be full; the report took the same way.
+      cost += upstream.load->path_delay;
+      if (upstream.load->path_delay > policy_.longest_path_delay) {
+        continue;
+      }
+    }
     if (upstream.entry.data_centre != policy_.data_centre) {
       cost += policy_.remote_penalty;
     }
--- a/src/stager/load_publisher.cc
+++ b/src/stager/load_publisher.cc
@@ -77,7 +77,8 @@
     const auto* subscription =
         message ? std::get_if<load_subscription>(&*message) : nullptr;
     if (subscription != nullptr) {
-      subscribers_[subscription->entry] = {from, MonotonicNow()};
+      subscribers_[subscription->entry] = {from, MonotonicNow(),
+                                           subscription->sent_us};
     }
   }
 }
@@ -128,8 +129,11 @@
   report.load = load;
   report.load.loading |= about_to_load_;
   report.load.entries = static_cast<std::uint32_t>(subscribers_.size());
-  const std::vector<std::uint8_t> datagram = EncodeLoadMessage(report);
   for (const auto& [entry, subscriber] : subscribers_) {
+    report.echo_us = subscriber.sent_us;
+    report.held_us =
+        static_cast<std::uint64_t>((now - subscriber.heard).count());
+    const std::vector<std::uint8_t> datagram = EncodeLoadMessage(report);
     boost::system::error_code ignored;  // the next report replaces a lost one
     socket_.send_to(boost::asio::buffer(datagram), subscriber.endpoint, 0,
                     ignored);
--- a/src/stager/load_publisher.h
+++ b/src/stager/load_publisher.h
@@ -47,6 +47,7 @@
   struct subscriber {
     boost::asio::ip::udp::endpoint endpoint;
     time_point heard;
+    std::uint64_t sent_us = 0;
   };
   std::map<vm_id, subscriber> subscribers_;
   bool reachable_ = true;
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -72,7 +72,7 @@
   if (!IsOk(served)) {
     return ErrorOf(served);
   }
-  const status published = publisher_.Start();
+  status published = publisher_.Start();
   if (!IsOk(published)) {
     return published;
   }
@@ -353,10 +353,10 @@
   if (ended.how == weight_stager::fetch_result::kFetched) {
     chunk_server_.NotifyChanged(chunk);
   }
-  static const char* const kSources[] = {"own", "peer", "origin"};
+  static const char* const source_names[] = {"own", "peer", "origin"};
   counters_.Count(
       "chunks_total",
-      {{"source", kSources[static_cast<int>(order.source.kind)]},
+      {{"source", source_names[static_cast<int>(order.source.kind)]},
        {"ok", ended.how == weight_stager::fetch_result::kFetched ? "1" : "0"}});
   core_.Handle(ended);
 }
--- a/src/staging/weight_stager.cc
+++ b/src/staging/weight_stager.cc
@@ -275,10 +275,10 @@
 }
 
 const staging_source& weight_stager::SourceOf(std::size_t chunk) const {
-  static const staging_source kOwnReplica{source_kind::kOwnReplica, ""};
+  static const staging_source own_replica{source_kind::kOwnReplica, ""};
   const chunk_state& state = chunks_[chunk];
   if (state.try_own_replica) {
-    return kOwnReplica;
+    return own_replica;
   }
   const std::vector<staging_source>& sources = sources_[chunk];
   const std::size_t step =
