Go on with old weights in an outage of the platform

The platform was out of reach while two versions were named and the origin failed after it; entries refused all model requests from second 34 to 40, because the old weights were superseded.

Ruled out: replicas that were down (all answered their agents).

Change: the time within which requests may begin on superseded weights does not count while the platform is out of reach and 2.2 s after, when a machine is not in touch with it anyway.

--- a/include/fireflyslip/catalog/version_targets.h
+++ b/include/fireflyslip/catalog/version_targets.h
@@ -14,7 +14,9 @@
 /// \brief Named model versions, and which of them may still begin requests.
 ///
 /// A request must not begin on an older version once a newer one has been named
-/// for longer than the rollout time.
+/// for longer than the rollout time. While the platform is out of reach, and
+/// shortly after, old versions go on: replicas may not get new ones then, and
+/// old answers are better than none.
 class version_targets {
  public:
   /// \param rollout time within which replicas change to a named version, less
@@ -31,16 +33,17 @@
             bool at_start,
             time_point now);
 
+  /// \brief The platform answered.
+  void ConfirmContact(time_point now);
+
   /// \brief Newest named version; 0 if none is known.
   std::uint64_t Newest(const model_name& model) const;
 
   /// \brief Moment at which a version is superseded and requests must have
   /// begun on it; empty while no newer one is named.
   std::optional<time_point> EndOf(const model_name& model,
-                                  std::uint64_t version) const;
-
-  /// \brief Lowest version on which a request may begin; 0 if any.
-  std::uint64_t Lowest(const model_name& model, time_point now) const;
+                                  std::uint64_t version,
+                                  time_point now) const;
 
  private:
   struct named {
@@ -48,8 +51,20 @@
     time_point since;
   };
 
+  /// Silence of the platform that counts as an outage; longer than the pause
+  /// between two answers to watches.
+  static constexpr milliseconds kOutage{3300};
+  /// Time after an outage in which old versions go on.
+  static constexpr milliseconds kOutageGrace{2200};
+
+  bool IsOutage(time_point now) const {
+    return now < grace_until_ || (contact_ && now - *contact_ > kOutage);
+  }
+
   duration rollout_;
   duration restart_credit_;
+  std::optional<time_point> contact_;
+  time_point grace_until_;
   std::map<model_name, std::vector<named>> models_;  // by version
 };
 
--- a/include/fireflyslip/placement/dispatcher.h
+++ b/include/fireflyslip/placement/dispatcher.h
@@ -92,13 +92,18 @@
 
     bool operator==(const version_named&) const = default;
   };
+  /// \brief The platform answered a watch.
+  struct platform_confirmed {
+    bool operator==(const platform_confirmed&) const = default;
+  };
   using event = std::variant<tick,
                              submit,
                              withdraw,
                              ended,
                              upstreams_changed,
                              load_reported,
-                             version_named>;
+                             version_named,
+                             platform_confirmed>;
 
   /// \brief Send the request to the upstream.
   struct start {
@@ -163,6 +168,7 @@
   void On(const upstreams_changed& event);
   void On(const load_reported& event);
   void On(const version_named& event);
+  void On(const platform_confirmed& event);
 
   void Dispatch(const service_name& service);
   void DispatchAll();
--- a/src/catalog/version_targets.cc
+++ b/src/catalog/version_targets.cc
@@ -17,6 +17,13 @@
   versions.push_back({version, at_start ? now - restart_credit_ : now});
 }
 
+void version_targets::ConfirmContact(time_point now) {
+  if (contact_ && now - *contact_ > kOutage) {
+    grace_until_ = now + kOutageGrace;
+  }
+  contact_ = now;
+}
+
 std::uint64_t version_targets::Newest(const model_name& model) const {
   const auto found = models_.find(model);
   return found == models_.end() || found->second.empty()
@@ -25,9 +32,10 @@
 }
 
 std::optional<time_point> version_targets::EndOf(const model_name& model,
-                                                 std::uint64_t version) const {
+                                                 std::uint64_t version,
+                                                 time_point now) const {
   const auto found = models_.find(model);
-  if (found == models_.end()) {
+  if (found == models_.end() || IsOutage(now)) {
     return std::nullopt;
   }
   for (const named& entry : found->second) {
@@ -38,19 +46,4 @@
   return std::nullopt;
 }
 
-std::uint64_t version_targets::Lowest(const model_name& model,
-                                      time_point now) const {
-  const auto found = models_.find(model);
-  if (found == models_.end()) {
-    return 0;
-  }
-  std::uint64_t lowest = 0;
-  for (const named& entry : found->second) {
-    if (entry.since + rollout_ <= now) {
-      lowest = entry.version;
-    }
-  }
-  return lowest;
-}
-
 }  // namespace fireflyslip
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -164,6 +164,7 @@
 
 void gateway::ConfirmKeys(time_point known_until) {
   keys_known_until_ = known_until;
+  Handle(dispatcher::platform_confirmed{});
 }
 
 void gateway::EndConnections() {
--- a/src/placement/dispatcher.cc
+++ b/src/placement/dispatcher.cc
@@ -145,6 +145,10 @@
   targets_.Name(event.model, event.version, event.at_start, now_);
 }
 
+void dispatcher::On(const platform_confirmed& /*event*/) {
+  targets_.ConfirmContact(now_);
+}
+
 void dispatcher::DispatchAll() {
   for (const auto& [service, queue] : queues_) {
     Dispatch(service);
@@ -176,7 +180,7 @@
     CountStart(queue);
     const std::uint64_t version = VersionOf(*upstream, request.model);
     actions_.emplace_back(start{id, upstream->entry, version,
-                                targets_.EndOf(request.model, version)});
+                                targets_.EndOf(request.model, version, now_)});
   }
 }
 
@@ -192,8 +196,9 @@
   // A request may wait at a replica, so that none is sent to one whose weights
   // are about to be superseded.
   const std::uint64_t version = VersionOf(upstream, request.model);
-  if (version == 0 ||
-      version < targets_.Lowest(request.model, now_ + policy_.begin_reserve)) {
+  const std::optional<time_point> end =
+      targets_.EndOf(request.model, version, now_);
+  if (version == 0 || (end && *end < now_ + policy_.begin_reserve)) {
     return false;
   }
   return !request.version || *request.version == version;
