--- /dev/null
+++ b/tests/catalog/upstream_registry_test.cc
@@ -0,0 +1,94 @@
+#include <gtest/gtest.h>
+
+#include "fireflyslip/catalog.h"
+
+namespace fireflyslip {
+namespace {
+
+class upstream_registry_test : public testing::Test {
+ protected:
+  static upstream_entry Entry(const std::string& id, bool draining = false) {
+    upstream_entry entry;
+    entry.id = upstream_id(id);
+    entry.address = "10.0.0.1:80";
+    entry.draining = draining;
+    return entry;
+  }
+
+  void Send(const upstream_registry::event& event) {
+    for (const auto& action : registry_.Handle(event, now_)) {
+      known_ = std::get<upstream_registry::publish>(action).upstreams;
+    }
+  }
+
+  // Whether the last published set has the upstream.
+  bool Has(const std::string& id) const {
+    return known_ && known_->contains(upstream_id(id));
+  }
+
+  void StartWith(const std::vector<upstream_entry>& entries) {
+    Send(upstream_registry::contact{});
+    Send(upstream_registry::listed{entries});
+  }
+
+  upstream_registry registry_{milliseconds(2500), seconds(2)};
+  time_point now_ = time_point(seconds(100));
+  std::shared_ptr<const upstream_map> known_;
+};
+
+// Guards against new work for an upstream that has left.
+TEST_F(upstream_registry_test, Removed_PlatformInTouch_DroppedAtOnce) {
+  StartWith({Entry("a"), Entry("b")});
+  now_ += seconds(1);
+  Send(upstream_registry::contact{});
+  Send(upstream_registry::removed{upstream_id("a")});
+  EXPECT_FALSE(Has("a"));
+  EXPECT_TRUE(Has("b"));
+}
+
+// Guards against losing all upstreams whose entries lapsed in an outage.
+TEST_F(upstream_registry_test, Listed_AfterOutage_MissingKeptForGrace) {
+  StartWith({Entry("a"), Entry("b")});
+  now_ += seconds(6);
+  Send(upstream_registry::contact{});
+  Send(upstream_registry::listed{{Entry("b")}});
+  EXPECT_TRUE(Has("a"));
+  now_ += seconds(1);
+  Send(upstream_registry::changed{Entry("a")});
+  now_ += seconds(2);
+  Send(tick{});
+  EXPECT_TRUE(Has("a"));
+}
+
+// Guards against an upstream that is kept although it did not come back.
+TEST_F(upstream_registry_test, Listed_AfterOutage_MissingDroppedAfterGrace) {
+  StartWith({Entry("a"), Entry("b")});
+  now_ += seconds(6);
+  Send(upstream_registry::contact{});
+  Send(upstream_registry::listed{{Entry("b")}});
+  EXPECT_EQ(registry_.NextDeadline(), now_ + seconds(2));
+  now_ += seconds(2);
+  Send(tick{});
+  EXPECT_FALSE(Has("a"));
+}
+
+// Guards against taking the end of a planned stop for a lapse.
+TEST_F(upstream_registry_test, Listed_AfterOutageWithoutDraining_Dropped) {
+  StartWith({Entry("a", true), Entry("b")});
+  now_ += seconds(6);
+  Send(upstream_registry::contact{});
+  Send(upstream_registry::listed{{Entry("b")}});
+  EXPECT_FALSE(Has("a"));
+}
+
+// Guards against lists after dropped history that hide what left in the gap.
+TEST_F(upstream_registry_test, Listed_WithoutOutage_MissingDropped) {
+  StartWith({Entry("a"), Entry("b")});
+  now_ += seconds(1);
+  Send(upstream_registry::contact{});
+  Send(upstream_registry::listed{{Entry("b")}});
+  EXPECT_FALSE(Has("a"));
+}
+
+}  // namespace
+}  // namespace fireflyslip
--- /dev/null
+++ b/tests/placement/dispatcher_test.cc
@@ -0,0 +1,265 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "fireflyslip/placement.h"
+
+namespace fireflyslip {
+namespace {
+
+class dispatcher_test : public testing::Test {
+ protected:
+  dispatcher_test() { core_.Handle(dispatcher::platform_confirmed{}, now_); }
+
+  static placement_policy Policy() {
+    placement_policy policy;
+    policy.data_centre = data_centre_id("akl");
+    return policy;
+  }
+
+  void Add(const std::string& id,
+           const std::string& data_centre = "akl",
+           std::uint64_t version = 1) {
+    upstream_entry entry;
+    entry.id = upstream_id(id);
+    entry.service = service_name("engine");
+    entry.address = id + ":1";
+    entry.data_centre = data_centre_id(data_centre);
+    entry.slots = 16;
+    entry.model_versions[model_] = version;
+    upstreams_[entry.id] = entry;
+    Publish();
+  }
+
+  void Publish() {
+    Handle(dispatcher::upstreams_changed{
+        std::make_shared<const upstream_map>(upstreams_)});
+  }
+
+  void Report(const std::string& id,
+              std::uint32_t active,
+              std::uint32_t queued = 0,
+              bool loading = false,
+              duration path_delay = {}) {
+    upstream_load load;
+    load.active = active;
+    load.queued = queued;
+    load.loading = loading;
+    load.path_delay = path_delay;
+    load.model_versions = upstreams_.at(upstream_id(id)).model_versions;
+    Handle(dispatcher::load_reported{upstream_id(id), load});
+  }
+
+  dispatcher::submit Work(work_id id, int urgency = 0) {
+    dispatcher::submit work;
+    work.id = id;
+    work.service = service_name("engine");
+    work.model = model_;
+    work.workspace = workspace_id("w");
+    work.priority = urgency;
+    work.urgency = urgency;
+    work.wait_until = now_ + milliseconds(400);
+    return work;
+  }
+
+  void Handle(const dispatcher::event& event) {
+    for (const auto& action : core_.Handle(event, now_)) {
+      if (const auto* start = std::get_if<dispatcher::start>(&action)) {
+        started_[start->id] = start->upstream.id.value();
+      } else {
+        const auto& refusal = std::get<dispatcher::refuse>(action);
+        refused_[refusal.id] = refusal;
+      }
+    }
+  }
+
+  const model_name model_{"m"};
+  time_point now_ = time_point(seconds(100));
+  upstream_map upstreams_;
+  dispatcher core_{Policy(), version_targets(seconds(8), seconds(5)),
+                   random_source(1)};
+  std::map<work_id, std::string> started_;
+  std::map<work_id, dispatcher::refuse> refused_;
+};
+
+// Guards against bytes between data centres while the own one has room.
+TEST_F(dispatcher_test, Submit_EqualLoad_OwnDataCentre) {
+  Add("far", "wlg");
+  Add("near");
+  Report("far", 2);
+  Report("near", 2);
+  Handle(Work(1));
+  EXPECT_EQ(started_[1], "near");
+}
+
+// Guards against queueing at a full replica while another data centre is free.
+TEST_F(dispatcher_test, Submit_OwnFull_OtherDataCentre) {
+  Add("far", "wlg");
+  Add("near");
+  Report("far", 2);
+  Report("near", 16, 2);
+  Handle(Work(1));
+  EXPECT_EQ(started_[1], "far");
+}
+
+// A burst of background work: guards against urgent requests that wait for a
+// slot because background work has taken the last one.
+TEST_F(dispatcher_test, Submit_BackgroundBurst_SlotsLeftForUrgent) {
+  Add("a");
+  Report("a", 0);
+  now_ += milliseconds(20);
+  for (work_id id = 1; id <= 30; ++id) {
+    Handle(Work(id, 2));
+  }
+  EXPECT_EQ(started_.size(), 14U);
+  Handle(Work(100, 0));
+  EXPECT_TRUE(started_.contains(100));
+}
+
+// Guards against background requests that start before urgent ones that came
+// later.
+TEST_F(dispatcher_test, Ended_UrgentAndBackgroundWait_UrgentFirst) {
+  Add("a");
+  Report("a", 20);
+  now_ += milliseconds(20);
+  Handle(Work(1, 2));
+  Handle(Work(2, 0));
+  EXPECT_TRUE(started_.empty());
+  Report("a", 19);
+  EXPECT_TRUE(started_.contains(2));
+  EXPECT_FALSE(started_.contains(1));
+}
+
+// One workspace floods: guards against a workspace that waits behind all
+// requests of another one.
+TEST_F(dispatcher_test, Submit_FloodOfOneWorkspace_OtherIsSecond) {
+  Add("a");
+  Report("a", 20);
+  now_ += milliseconds(20);
+  for (work_id id = 1; id <= 10; ++id) {
+    Handle(Work(id));
+  }
+  dispatcher::submit small = Work(50);
+  small.workspace = workspace_id("small");
+  Handle(small);
+  Report("a", 18);
+  EXPECT_EQ(started_.size(), 2U);
+  EXPECT_TRUE(started_.contains(50));
+}
+
+// Guards against a request that is held until its client leaves.
+TEST_F(dispatcher_test, Tick_NoRoomInTime_RefusedWithDelay) {
+  Add("a");
+  Report("a", 30);
+  Handle(Work(1, 2));
+  EXPECT_EQ(core_.NextDeadline(), now_ + milliseconds(400));
+  now_ += milliseconds(400);
+  Handle(tick{});
+  ASSERT_TRUE(refused_.contains(1));
+  EXPECT_EQ(refused_[1].kind, error_kind::kOverloaded);
+  EXPECT_GT(refused_[1].retry_after, milliseconds(100));
+}
+
+// Guards against requests that reach a replica just before its load and wait
+// there until it ends.
+TEST_F(dispatcher_test, Submit_ReplicaLoading_NotChosen) {
+  Add("a");
+  Add("b");
+  Report("a", 0, 0, true);
+  Report("b", 15);
+  Handle(Work(1));
+  EXPECT_EQ(started_[1], "b");
+}
+
+// Hunt seeds 943484583698 and 287496080576: guards against requests that arrive
+// through a full link after their clients have left.
+TEST_F(dispatcher_test, Submit_PathDelayLong_NotChosen) {
+  Add("a");
+  Report("a", 0, 0, false, milliseconds(900));
+  Handle(Work(1));
+  EXPECT_TRUE(started_.empty());
+  Add("b", "wlg");
+  Report("b", 10);
+  EXPECT_EQ(started_[1], "b");
+}
+
+// Guards against requests that begin on superseded weights.
+TEST_F(dispatcher_test, Submit_VersionSuperseded_OnlyNewOne) {
+  Add("old");
+  Add("new", "wlg", 2);
+  Handle(dispatcher::version_named{model_, 2, false});
+  for (int i = 0; i < 3; ++i) {
+    now_ += seconds(3);
+    Handle(dispatcher::platform_confirmed{});
+  }
+  Handle(Work(1));
+  EXPECT_EQ(started_[1], "new");
+}
+
+// Guards against a stream that goes on with other weights.
+TEST_F(dispatcher_test, Submit_VersionAsked_OnlyThatOne) {
+  Add("a");
+  Add("b", "wlg", 2);
+  dispatcher::submit work = Work(1);
+  work.version = 2;
+  Handle(work);
+  EXPECT_EQ(started_[1], "b");
+}
+
+// Guards against a replica without weights that gets requests.
+TEST_F(dispatcher_test, Submit_EmptyReplica_NotChosen) {
+  Add("a", "akl", 0);
+  Handle(Work(1));
+  EXPECT_TRUE(started_.empty());
+}
+
+// Guards against more work for an upstream that leaves.
+TEST_F(dispatcher_test, Submit_Draining_NotChosen) {
+  Add("a");
+  upstreams_[upstream_id("a")].draining = true;
+  Publish();
+  Handle(Work(1));
+  EXPECT_TRUE(started_.empty());
+}
+
+// Guards against an unreachable upstream that takes every request in turn.
+TEST_F(dispatcher_test, Ended_UnreachableTwice_OtherChosen) {
+  Add("a");
+  Add("b", "wlg");
+  for (work_id id = 1; id <= 2; ++id) {
+    Handle(Work(id));
+    ASSERT_EQ(started_[id], "a");
+    Handle(dispatcher::ended{id, attempt_end::kUnreachable});
+  }
+  Handle(Work(3));
+  EXPECT_EQ(started_[3], "b");
+}
+
+// Guards against the same upstream for a further attempt.
+TEST_F(dispatcher_test, Submit_Excluded_OtherChosen) {
+  Add("a");
+  Add("b", "wlg");
+  dispatcher::submit work = Work(1);
+  work.excluded = {upstream_id("a")};
+  Handle(work);
+  EXPECT_EQ(started_[1], "b");
+}
+
+// Guards against state of an earlier incarnation with the same id.
+TEST_F(dispatcher_test, UpstreamsChanged_BornAgain_ForgetsEjection) {
+  Add("a");
+  for (work_id id = 1; id <= 2; ++id) {
+    Handle(Work(id));
+    Handle(dispatcher::ended{id, attempt_end::kUnreachable});
+  }
+  Add("b", "wlg");
+  upstreams_[upstream_id("a")].started_ms = 7;
+  Publish();
+  Handle(Work(3));
+  EXPECT_EQ(started_[3], "a");
+}
+
+}  // namespace
+}  // namespace fireflyslip
--- /dev/null
+++ b/tests/placement/upstream_health_test.cc
@@ -0,0 +1,57 @@
+#include <gtest/gtest.h>
+
+#include "fireflyslip/placement.h"
+
+namespace fireflyslip {
+namespace {
+
+class upstream_health_test : public testing::Test {
+ protected:
+  time_point now_ = time_point(seconds(100));
+  upstream_health health_;
+};
+
+// Guards against an upstream that fails requests while its health check passes.
+TEST_F(upstream_health_test, CountFailure_HalfFail_Ejected) {
+  for (int i = 0; i < 10; ++i) {
+    health_.CountFailure(now_);
+    health_.CountSuccess();
+  }
+  health_.CountFailure(now_);
+  EXPECT_TRUE(health_.is_ejected(now_));
+}
+
+// Guards against ejection for the failures that a service always has.
+TEST_F(upstream_health_test, CountFailure_OneInSeven_NotEjected) {
+  for (int i = 0; i < 100; ++i) {
+    health_.CountFailure(now_);
+    for (int j = 0; j < 6; ++j) {
+      health_.CountSuccess();
+    }
+  }
+  EXPECT_FALSE(health_.is_ejected(now_));
+}
+
+// Guards against all requests at once for an upstream that was ejected.
+TEST_F(upstream_health_test, IsAvailable_AfterEjection_OneTrial) {
+  health_.CountUnreachable(now_);
+  health_.CountUnreachable(now_);
+  EXPECT_TRUE(health_.is_ejected(now_));
+  now_ += seconds(1);
+  EXPECT_TRUE(health_.IsAvailable(now_, true));
+  EXPECT_FALSE(health_.IsAvailable(now_, false));
+  health_.CountSuccess();
+  EXPECT_TRUE(health_.IsAvailable(now_, false));
+}
+
+// Guards against a short ejection of an upstream that stays away.
+TEST_F(upstream_health_test, CountUnreachable_TrialFails_LongerEjection) {
+  health_.CountUnreachable(now_);
+  health_.CountUnreachable(now_);
+  now_ += milliseconds(600);
+  health_.CountUnreachable(now_);
+  EXPECT_TRUE(health_.is_ejected(now_ + milliseconds(900)));
+}
+
+}  // namespace
+}  // namespace fireflyslip
--- /dev/null
+++ b/tests/staging/chunk_sources_test.cc
@@ -0,0 +1,102 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "fireflyslip/staging.h"
+
+namespace fireflyslip {
+namespace {
+
+class chunk_sources_test : public testing::Test {
+ protected:
+  chunk_sources_test() {
+    for (int i = 0; i < 15; ++i) {
+      const std::string region = std::string(1, static_cast<char>('a' + i % 3));
+      peers_.push_back(
+          {"10.0.0." + std::to_string(i), region_id(region), false});
+    }
+  }
+
+  std::vector<staging_source> Sources(std::size_t chunk,
+                                      const staging_peer& self) const {
+    return ChunkSources(chunk, self, peers_, region_id("a"));
+  }
+
+  std::vector<staging_peer> peers_;
+};
+
+// Guards against more than one copy from the origin.
+TEST_F(chunk_sources_test, Sources_OneAgentOnly_DrawsFromOrigin) {
+  for (std::size_t chunk = 0; chunk < 48; ++chunk) {
+    const auto drawn = std::count_if(
+        peers_.begin(), peers_.end(), [&](const staging_peer& peer) {
+          return Sources(chunk, peer).front().kind == source_kind::kOrigin;
+        });
+    EXPECT_EQ(drawn, 1);
+  }
+}
+
+// Guards against more than one copy over the link between two regions.
+TEST_F(chunk_sources_test, Sources_OneAgentOfRegion_CrossesRegions) {
+  for (std::size_t chunk = 0; chunk < 48; ++chunk) {
+    std::map<region_id, int> crossing;
+    for (const staging_peer& self : peers_) {
+      const staging_source first = Sources(chunk, self).front();
+      const auto from = std::find_if(peers_.begin(), peers_.end(),
+                                     [&](const staging_peer& peer) {
+                                       return peer.address == first.address;
+                                     });
+      if (from != peers_.end() && from->region != self.region) {
+        ++crossing[self.region];
+      }
+    }
+    EXPECT_EQ(crossing[region_id("b")], 1);
+    EXPECT_EQ(crossing[region_id("c")], 1);
+    EXPECT_EQ(crossing[region_id("a")], 0);
+  }
+}
+
+// Guards against an agent that passes on more chunks than the others, whose
+// link then takes longest.
+TEST_F(chunk_sources_test, Sources_AllChunks_DealtEvenly) {
+  std::map<std::string, int> drawn;
+  for (std::size_t chunk = 0; chunk < 48; ++chunk) {
+    for (const staging_peer& self : peers_) {
+      if (Sources(chunk, self).front().kind == source_kind::kOrigin) {
+        ++drawn[self.address];
+      }
+    }
+  }
+  EXPECT_EQ(drawn.size(), 5U);
+  for (const auto& [address, count] : drawn) {
+    EXPECT_LE(count, 10);
+  }
+}
+
+// Guards against new agents that draw from the origin what peers have.
+TEST_F(chunk_sources_test, Sources_PeerHoldsTarget_PeerFirst) {
+  peers_[0].holds_target = true;
+  const staging_source first = Sources(3, peers_[3]).front();
+  EXPECT_EQ(first.address, peers_[0].address);
+}
+
+// Guards against a chunk without any source left when peers fail.
+TEST_F(chunk_sources_test, Sources_Always_EndWithOrigin) {
+  for (const staging_peer& self : peers_) {
+    EXPECT_EQ(Sources(1, self).back().kind, source_kind::kOrigin);
+  }
+}
+
+// Guards against an order that leaves chunks out.
+TEST_F(chunk_sources_test, FetchOrder_AllChunks_OnceEach) {
+  for (const staging_peer& self : peers_) {
+    const std::vector<std::size_t> order = FetchOrder(48, self, peers_);
+    EXPECT_EQ(std::set<std::size_t>(order.begin(), order.end()).size(), 48U);
+    EXPECT_EQ(order.size(), 48U);
+  }
+}
+
+}  // namespace
+}  // namespace fireflyslip
