--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -39,6 +39,7 @@
         seed_(std::random_device{}()),
         control_(1),
         signals_(control_, SIGTERM, SIGINT),
+        reload_signals_(control_, SIGHUP),
         drain_timer_(control_),
         traffic_gateway_(std::make_unique<gateway>(traffic_.context(),
                                                    settings,
@@ -74,6 +75,7 @@
       return Fail(ErrorOf(served));
     }
     AwaitSignal();
+    AwaitReload();
     feed_.Start();
     traffic_.Start();
     LogLine("event=start role=gateway vm=" + settings_.vm.value() +
@@ -147,6 +149,17 @@
     });
   }
 
+  void AwaitReload() {
+    reload_signals_.async_wait(
+        [this](const boost::system::error_code& code, int) {
+          if (!code) {
+            // Addresses and bounds cannot change under open connections.
+            LogLine("event=reload role=gateway applied=at_restart");
+            AwaitReload();
+          }
+        });
+  }
+
   void Drain() {
     draining_ = true;
     stop_by_ = MonotonicNow() + settings_.drain_timeout - kExitReserve;
@@ -179,6 +192,7 @@
   metrics counters_;
   boost::asio::io_context control_;
   boost::asio::signal_set signals_;
+  boost::asio::signal_set reload_signals_;
   boost::asio::steady_timer drain_timer_;
   io_thread traffic_;
   std::unique_ptr<gateway> traffic_gateway_;
@@ -193,7 +207,7 @@
 
 int RunGateway(const node_settings& settings) {
   std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGHUP, SIG_IGN);
+
   gateway_daemon daemon(settings);
   return daemon.Run();
 }
--- a/src/program/main.cc
+++ b/src/program/main.cc
@@ -8,6 +8,7 @@
 #include "fireflyslip/runtime.h"
 #include "gateway/gateway_daemon.h"
 #include "node/node_settings.h"
+#include "platform/wire_names.h"
 #include "program/apply_command.h"
 #include "program/check_command.h"
 #include "program/daemon.h"
@@ -49,12 +50,11 @@
                                       : RunAgent(*std::move(settings));
 }
 
-/// Settings of the daemons on the platform, unless `--settings` is given.
-constexpr char kSettingsVariable[] = "FIREFLYSLIP_BOOT";
-
+/// \brief Runs a daemon of the platform. Without a file, the platform's
+/// environment variable names it.
 int RunNode(std::string file, node_role role) {
   if (file.empty()) {
-    const char* variable = std::getenv(kSettingsVariable);
+    const char* variable = std::getenv(platform::kSettingsVariable);
     file = variable == nullptr ? "" : variable;
   }
   const std::optional<std::string> text = ReadFile(file);
--- a/src/stager/stager_daemon.cc
+++ b/src/stager/stager_daemon.cc
@@ -22,6 +22,16 @@
   co_await writer.Send(std::move(response));
 }
 
+void AwaitReload(boost::asio::signal_set& signals) {
+  signals.async_wait([&signals](const boost::system::error_code& code, int) {
+    if (!code) {
+      // Addresses and bounds cannot change under open connections.
+      LogLine("event=reload role=stager applied=at_restart");
+      AwaitReload(signals);
+    }
+  });
+}
+
 int Fail(const error& problem) {
   LogLine("event=start_failed reason=\"" + problem.detail + "\"");
   return kExitCannotListen;
@@ -31,7 +41,7 @@
 
 int RunStager(const node_settings& settings) {
   std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGHUP, SIG_IGN);
+
   boost::asio::io_context context(1);
   metrics counters;
   stager agent(context, settings, counters, std::random_device{}());
@@ -50,6 +60,8 @@
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
   signals.async_wait(
       [&context](const boost::system::error_code&, int) { context.stop(); });
+  boost::asio::signal_set reload_signals(context, SIGHUP);
+  AwaitReload(reload_signals);
   LogLine("event=start role=stager vm=" + settings.vm.value() +
           " data_centre=" + settings.data_centre.value());
   context.run();
--- /dev/null
+++ b/tests/adapter/catalog_codec_test.cc
@@ -0,0 +1,100 @@
+#include "platform/catalog_codec.h"
+
+#include <gtest/gtest.h>
+
+#include "platform/json_access.h"
+
+namespace fireflyslip::platform {
+namespace {
+
+using nlohmann::json;
+
+class catalog_codec_test : public testing::Test {
+ protected:
+  const json configuration_ = json::parse(R"({
+    "version": 7,
+    "routes": [
+      {"name": "chat", "host": "a.example", "pathPrefix": "/c/",
+       "routeType": "streaming", "timeoutMs": 6000, "targetLatencyMs": 400,
+       "targetGapMs": 400, "priority": 1, "maxAttempts": 2,
+       "streamResume": true,
+       "trafficSplit": [{"service": "m1", "weight": 90},
+                        {"service": "m2", "weight": 10}]},
+      {"name": "book", "host": "a.example", "pathPrefix": "/b/",
+       "routeType": "non_idempotent", "service": "plain", "public": true}],
+    "services": [
+      {"name": "m1", "maxConnections": 364,
+       "engineType": {"modelList": [{"name": "mod"}], "step_ms": 9.2,
+                      "read_per_s": 20700, "chunkCount": 48,
+                      "chunkBytes": 49152}},
+      {"name": "o", "origin": "10.0.0.9:80", "zone": "z"}],
+    "limits": {"maxHeaderBytes": 100, "maxBodyBytes": 200,
+               "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+    "tenants": [{"name": "t", "apiKeys": ["k1", "k2"], "priority": 2}]})");
+
+  const json entry_ = json::parse(R"({
+    "service": "m1", "address": "10.0.0.1:80", "zone": "z", "version": "v1",
+    "slots": 16, "state": "ready", "coldRemainingMs": 0, "sequence": 4,
+    "born": 1700000000000, "modelList": [{"name": "mod", "version": 3}]})");
+};
+
+TEST_F(catalog_codec_test, Deployment_Complete_AllFields) {
+  const auto decoded = DecodeDeployment(configuration_);
+  ASSERT_TRUE(IsOk(decoded));
+  const deployment& catalog = ValueOf(decoded);
+  EXPECT_EQ(catalog.version, 7U);
+  const route* chat = catalog.routes.Find("a.example", "/c/1");
+  ASSERT_NE(chat, nullptr);
+  EXPECT_EQ(chat->repeat, repeat_rule::kResumableStream);
+  EXPECT_EQ(chat->services.size(), 2U);
+  EXPECT_EQ(chat->timeout, seconds(6));
+  const route* book = catalog.routes.Find("a.example", "/b/1");
+  EXPECT_EQ(book->repeat, repeat_rule::kNonIdempotent);
+  EXPECT_TRUE(book->public_access);
+  EXPECT_EQ(catalog.FindKey("k2")->priority, 2);
+  EXPECT_EQ(catalog.FindKey("k3"), nullptr);
+  EXPECT_EQ(catalog.FindService(service_name("m1"))->engine->chunk_count, 48U);
+  EXPECT_EQ(catalog.FindService(service_name("o"))->origin->address,
+            "10.0.0.9:80");
+}
+
+// Guards against a configuration that is applied in part.
+TEST_F(catalog_codec_test, Deployment_RouteWithoutService_Rejected) {
+  json broken = configuration_;
+  broken["routes"][1].erase("service");
+  EXPECT_FALSE(IsOk(DecodeDeployment(broken)));
+}
+
+TEST_F(catalog_codec_test, Upstream_Complete_AllFields) {
+  const auto entry = DecodeUpstream("i-1", entry_);
+  ASSERT_TRUE(entry);
+  EXPECT_EQ(entry->slots, 16U);
+  EXPECT_EQ(entry->model_versions.at(model_name("mod")), 3U);
+  EXPECT_FALSE(entry->draining);
+}
+
+// Guards against entries of other writers that are taken for upstreams.
+TEST_F(catalog_codec_test, Upstream_ForeignEntry_Nothing) {
+  for (const char* field :
+       {"service", "address", "zone", "slots", "state", "version"}) {
+    json missing = entry_;
+    missing.erase(field);
+    EXPECT_FALSE(DecodeUpstream("i-1", missing)) << field;
+    json mistyped = entry_;
+    mistyped[field] = json::array();
+    EXPECT_FALSE(DecodeUpstream("i-1", mistyped)) << field;
+  }
+  json unknown = entry_;
+  unknown["state"] = "resting";
+  EXPECT_FALSE(DecodeUpstream("i-1", unknown));
+  EXPECT_FALSE(DecodeUpstream("i-1", json("text")));
+}
+
+// Guards against one unreadable value that hides a whole list.
+TEST_F(catalog_codec_test, ParseJson_InvalidUtf8_OtherValuesRead) {
+  const json value = ParseJson("{\"a\": \"\xff\xfe\", \"b\": 1}");
+  EXPECT_EQ(FindCount(value, "b"), 1U);
+}
+
+}  // namespace
+}  // namespace fireflyslip::platform
--- /dev/null
+++ b/tests/node/load_report_test.cc
@@ -0,0 +1,37 @@
+#include "node/load_report.h"
+
+#include <gtest/gtest.h>
+
+namespace fireflyslip {
+namespace {
+
+class load_report_test : public testing::Test {};
+
+TEST_F(load_report_test, Report_Encoded_DecodesEqual) {
+  load_report report;
+  report.engine = "10.0.0.1:80";
+  report.echo_us = 1ULL << 40U;
+  report.held_us = 7;
+  report.load.active = 3;
+  report.load.queued = 2;
+  report.load.loading = true;
+  report.load.entries = 8;
+  report.load.model_versions[model_name("m")] = 4;
+  EXPECT_EQ(DecodeLoadMessage(EncodeLoadMessage(report)), load_message(report));
+}
+
+TEST_F(load_report_test, Subscription_Encoded_DecodesEqual) {
+  const load_subscription subscription{vm_id("e1"), 99};
+  EXPECT_EQ(DecodeLoadMessage(EncodeLoadMessage(subscription)),
+            load_message(subscription));
+}
+
+// Guards against datagrams of others on the port.
+TEST_F(load_report_test, Decode_Garbage_Nothing) {
+  EXPECT_EQ(DecodeLoadMessage({}), std::nullopt);
+  const std::vector<std::uint8_t> garbage = {0xff, 0x00, 0x13};
+  EXPECT_EQ(DecodeLoadMessage(garbage), std::nullopt);
+}
+
+}  // namespace
+}  // namespace fireflyslip
