Say 'unknown' when time runs out on a request that was sent

Cause, found by reading: a 504 carried the default of its error kind, 'not_run', also when an upstream had received the request and may have run it.

Change: the outcome of own answers follows from the attempts. The test fails without the change (not_run) and passes with it; 19 gateway tests pass.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -447,7 +447,9 @@
   /// Delay for refusals that say nothing of the load.
   constexpr milliseconds kDefaultDelay{300};
   const error_answer& known = AnswerFor(problem.kind);
-  http_response answer = ProblemResponse(problem);
+  const outcome actual =
+      history_.may_have_run > 0 ? outcome::kUnknown : known.default_outcome;
+  http_response answer = ProblemResponse(problem, std::nullopt, actual);
   std::erase_if(answer.fields, [](const http_field& field) {
     return field.name == "Retry-After";
   });
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -369,6 +369,27 @@
   EXPECT_EQ(answer.rfind("HTTP/1.1 "), 0U);
 }
 
+// Guards against "not run" for a request that an upstream has received.
+TEST_F(gateway_test, Booking_UpstreamSilent_OutcomeUnknown) {
+  Configure();
+  upstream& server =
+      Add([&](http_request, response_writer& writer) -> awaitable<void> {
+        boost::asio::steady_timer timer(context_);
+        while (!upstreams_.front()->left) {
+          timer.expires_after(milliseconds(5));
+          co_await timer.async_wait(boost::asio::use_awaitable);
+        }
+        writer.Abort();
+      });
+  http_request request = Request("/book/1");
+  request.fields[2].value = "800";
+  const auto answer = Call(request);
+  ASSERT_TRUE(IsOk(answer));
+  EXPECT_EQ(server.received.size(), 1U);
+  EXPECT_EQ(ValueOf(answer).status, 504);
+  EXPECT_EQ(ValueOf(answer).Field(kOutcomeHeader), "unknown");
+}
+
 // Guards against a planned stop that cuts off requests in progress.
 TEST_F(gateway_test, Drain_RequestInProgress_Completed) {
   Configure();
