Compare two replicas and share the places that a report shows

Entries see the same reports, up to 100 ms old, and each sent to the replica that looked emptiest: a replica went from 7 to 14 requests between two reports, read 7,100 prompt tokens in one pass of 0.3 s, and all its streams paused (65 of 108 late chats had their first event in time).

Ruled out: a lack of slots alone (with background work kept to half of them, 113 chats were still late); time in the entries (requests were placed at once).

Change: an entry compares two random replicas of its data centre and two of the others, counts the prompts that it has sent and that are not read yet, and takes only its share of the places that a report shows for background work, which leaves four slots free. What an entry knows of a replica is a class of its own; tests replay the demand in front of virtual engines.

--- /dev/null
+++ b/bench/placement_bench.cc
@@ -0,0 +1,48 @@
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "placement/virtual_fleet.h"
+
+namespace {
+
+using fireflyslip::milliseconds;
+using fireflyslip::placement_policy;
+using fireflyslip::seconds;
+using fireflyslip::testing_support::kind_outcome;
+using fireflyslip::testing_support::stream_kind;
+using fireflyslip::testing_support::virtual_fleet;
+
+/// Demand of the second site beside its fleet, about 1.36 of its capacity.
+std::vector<stream_kind> Demand(double scale) {
+  return {{35.1 * scale, 787, 101, milliseconds(400)},
+          {32.6 * scale, 607, 70, milliseconds(400)},
+          {46.3 * scale, 1290, 101, milliseconds(1000)}};
+}
+
+void Print(const char* name,
+           std::size_t entries,
+           std::size_t engines,
+           double scale) {
+  virtual_fleet fleet(placement_policy(), entries, engines, 1);
+  fleet.Play(Demand(scale), seconds(40));
+  std::printf("%-12s", name);
+  for (int urgency = 0; urgency < 3; ++urgency) {
+    const kind_outcome outcome = fleet.Outcome(urgency);
+    std::printf("  %zu: asked %5zu in time %.3f late %.3f refused %.3f",
+                static_cast<std::size_t>(urgency), outcome.asked,
+                outcome.in_time_share(),
+                static_cast<double>(outcome.late) / outcome.asked,
+                static_cast<double>(outcome.refused) / outcome.asked);
+  }
+  std::printf("\n");
+}
+
+}  // namespace
+
+int main() {
+  Print("overload", 6, 9, 1.0);
+  Print("capacity", 6, 9, 0.73);
+  Print("half", 6, 9, 0.4);
+  Print("large fleet", 44, 58, 6.44);
+}
--- a/include/fireflyslip/placement.h
+++ b/include/fireflyslip/placement.h
@@ -8,6 +8,7 @@
 #include "fireflyslip/placement/dispatcher.h"
 #include "fireflyslip/placement/placement_policy.h"
 #include "fireflyslip/placement/retry_window.h"
+#include "fireflyslip/placement/tracked_upstream.h"
 #include "fireflyslip/placement/upstream_health.h"
 #include "fireflyslip/placement/upstream_load.h"
 
--- a/include/fireflyslip/placement/dispatcher.h
+++ b/include/fireflyslip/placement/dispatcher.h
@@ -17,23 +17,11 @@
 #include "fireflyslip/core/error.h"
 #include "fireflyslip/core/random_source.h"
 #include "fireflyslip/placement/placement_policy.h"
-#include "fireflyslip/placement/upstream_health.h"
+#include "fireflyslip/placement/tracked_upstream.h"
 #include "fireflyslip/placement/upstream_load.h"
 
 namespace fireflyslip {
 
-/// \brief Number of a request within one entry.
-using work_id = std::uint64_t;
-
-/// \brief How an attempt at an upstream ended.
-enum class attempt_end {
-  kSucceeded,
-  kFailed,       ///< The upstream failed, or its answer was broken.
-  kRefused,      ///< The upstream stated that it did not run the request.
-  kUnreachable,  ///< No connection, or silence.
-  kAbandoned,    ///< Ended by the entry; says nothing about the upstream.
-};
-
 /// \brief Decision core that places requests on upstreams.
 ///
 /// Load pattern: ordinary demand is above what the replicas can serve, uneven
@@ -42,6 +30,11 @@
 /// can go to whichever replica has room first; they wait by priority, then
 /// fairly over workspaces by cost. A request that cannot be placed within the
 /// time in which its answer is still useful is refused at once.
+///
+/// Several entries choose by the same reports, which are as old as the interval
+/// between them. To keep the entries from all sending to the replica that
+/// looked emptiest, each one compares only a few replicas chosen at random, and
+/// takes only its share of the places that a report shows for background work.
 class dispatcher {
  public:
   /// \brief A request asks for an upstream. Its id is not in the dispatcher.
@@ -53,8 +46,9 @@
     int priority = 0;  ///< Order of waiting requests; 0 is the first.
     int urgency = 0;   ///< Priority of the kind of request; 0 is the first.
     double cost = 1;   ///< Any unit that is the same for all requests.
-    bool returning = false;  ///< Was refused or interrupted before.
-    time_point wait_until;   ///< Placed by then or refused.
+    duration read_time = {};  ///< For which a replica reads the prompt.
+    bool returning = false;   ///< Was refused or interrupted before.
+    time_point wait_until;    ///< Placed by then or refused.
     std::set<upstream_id> excluded;
     /// Only upstreams that serve this version; set to continue a stream.
     std::optional<std::uint64_t> version;
@@ -67,6 +61,12 @@
 
     bool operator==(const withdraw&) const = default;
   };
+  /// \brief The first part of the answer to a started request has arrived.
+  struct begun {
+    work_id id = 0;
+
+    bool operator==(const begun&) const = default;
+  };
   /// \brief A started request has ended at its upstream.
   struct ended {
     work_id id = 0;
@@ -99,6 +99,7 @@
   using event = std::variant<tick,
                              submit,
                              withdraw,
+                             begun,
                              ended,
                              upstreams_changed,
                              load_reported,
@@ -137,14 +138,6 @@
   std::size_t entries() const { return entries_; }
 
  private:
-  struct upstream_state {
-    upstream_entry entry;
-    std::map<work_id, time_point> in_flight;  // with the time of the send
-    upstream_health health;
-    std::optional<upstream_load> load;
-    time_point load_at;
-    double ended_since_load = 0;
-  };
   // Order within a service: priority, returning requests, virtual time.
   using queue_key = std::tuple<int, int, double, work_id>;
   struct waiting_request {
@@ -164,6 +157,7 @@
   void On(const tick& event);
   void On(const submit& event);
   void On(const withdraw& event);
+  void On(const begun& event);
   void On(const ended& event);
   void On(const upstreams_changed& event);
   void On(const load_reported& event);
@@ -172,14 +166,14 @@
 
   void Dispatch(const service_name& service);
   void DispatchAll();
-  upstream_state* Choose(const submit& request);
-  bool IsEligible(const upstream_state& upstream, const submit& request) const;
-  std::uint64_t VersionOf(const upstream_state& upstream,
-                          const model_name& model) const;
-  bool HasFreshLoad(const upstream_state& upstream) const;
-  double ExpectedLoad(const upstream_state& upstream) const;
-  duration ExpectedWait(const upstream_state& upstream, double load) const;
-  double Allowance(int priority) const;
+  tracked_upstream* Choose(const submit& request);
+  tracked_upstream* CheapestOfSome(std::vector<tracked_upstream*> group);
+  bool IsEligible(const tracked_upstream& upstream,
+                  const submit& request) const;
+  bool HasRoom(const tracked_upstream& upstream, const submit& request) const;
+  duration ExpectedDelay(const tracked_upstream& upstream) const;
+  int DrawPermits(const tracked_upstream& upstream);
+  double Allowance(const submit& request) const;
   void Refuse(work_id id, error_kind kind);
   void Remove(work_id id);
   void CountStart(service_queue& queue);
@@ -190,7 +184,7 @@
   placement_policy policy_;
   version_targets targets_;
   random_source random_;
-  std::map<upstream_id, upstream_state> upstreams_;
+  std::map<upstream_id, tracked_upstream> upstreams_;
   std::map<service_name, service_queue> queues_;
   std::map<work_id, waiting_request> waiting_;
   std::set<std::pair<time_point, work_id>> wait_ends_;
--- a/include/fireflyslip/placement/placement_policy.h
+++ b/include/fireflyslip/placement/placement_policy.h
@@ -13,17 +13,20 @@
 struct placement_policy {
   data_centre_id data_centre;  ///< Where the entry runs.
 
-  /// Requests that may wait at a replica beyond its slots, by priority; the
-  /// last one holds for all further priorities. The replica admits urgent
-  /// requests first, so that these may wait there behind fewer others. One
-  /// request of the last priority keeps the batch full between two reports.
-  std::array<double, 3> queue_allowance = {4, 1, -2};
+  /// Requests that may be at a replica beyond its slots, by urgency; the last
+  /// one holds for all further ones. A negative number leaves slots free, so
+  /// that more urgent requests need not wait for one.
+  std::array<double, 3> queue_allowance = {4, 1, -4};
+  /// The same for upstreams without an engine; a few keep them busy.
+  double plain_allowance = 4;
+  /// Upstreams of the own data centre, and of the others, that are compared.
+  /// Entries that compare all of them send to the same one until the next
+  /// report, and it then reads their prompts in one long pass.
+  std::size_t choices = 2;
 
   /// A load report older than this is not used. Reports come every 100 ms;
   /// a few may be lost.
   duration report_lifetime = milliseconds(700);
-  /// Requests sent this long before a report arrived may be missing in it.
-  duration report_lag = milliseconds(5);
   /// Without a report, the own requests at an upstream count this many times,
   /// for those of the other entries.
   double unseen_factor = 4;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -228,6 +228,7 @@
   work.priority = priority_;
   work.urgency = route_->priority;
   work.cost = Cost();
+  work.read_time = ReadTime();
   work.returning = !first;
   work.wait_until = std::min(end_, now + wait);
   work.excluded = excluded_;
@@ -384,6 +385,7 @@
     if (events.empty()) {
       continue;
     }
+    owner_.Handle(dispatcher::begun{id_});
     const bool written =
         co_await DeliverEvents(reader->head(), std::move(events));
     if (!written) {
@@ -527,6 +529,16 @@
   return FromSeconds(ToSeconds(end_ - received_) * kPlainSilenceShare);
 }
 
+duration exchange::ReadTime() const {
+  const service_profile* service = catalog_->FindService(service_);
+  if (service == nullptr || !service->engine ||
+      service->engine->prompt_tokens_per_s <= 0) {
+    return duration(0);
+  }
+  return FromSeconds(static_cast<double>(call_.prompt_tokens) /
+                     service->engine->prompt_tokens_per_s);
+}
+
 double exchange::Cost() const {
   const service_profile* service = catalog_->FindService(service_);
   if (service == nullptr || !service->engine) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -72,6 +72,7 @@
                               const error& problem) const;
   duration TimeLeft() const;
   duration SilenceBound() const;
+  duration ReadTime() const;
   double Cost() const;
   void LogOutcome();
 
--- a/src/placement/dispatcher.cc
+++ b/src/placement/dispatcher.cc
@@ -15,9 +15,6 @@
 constexpr duration kRateHorizon = seconds(1);
 /// Below this rate there is too little to predict waits from.
 constexpr double kMinRate = 1;  // starts a second
-/// Load at which an upstream without an engine gets no more requests: a few
-/// beyond its slots keep it busy.
-constexpr double kPlainAllowance = 4;
 
 }  // namespace
 
@@ -76,41 +73,28 @@
   Remove(event.id);
 }
 
-void dispatcher::On(const ended& event) {
+void dispatcher::On(const begun& event) {
   const auto found = started_.find(event.id);
   if (found == started_.end()) {
     return;
   }
-  const upstream_id id = found->second;
-  started_.erase(found);
-  const auto at = upstreams_.find(id);
-  if (at == upstreams_.end()) {
-    return;
-  }
-  upstream_state& upstream = at->second;
-  const auto sent = upstream.in_flight.find(event.id);
-  if (sent == upstream.in_flight.end()) {
-    return;  // an earlier incarnation of the upstream
+  const auto at = upstreams_.find(found->second);
+  if (at != upstreams_.end()) {
+    at->second.Begin(event.id);
   }
-  if (sent->second + policy_.report_lag < upstream.load_at) {
-    upstream.ended_since_load += 1;
+}
+
+void dispatcher::On(const ended& event) {
+  const auto found = started_.find(event.id);
+  if (found == started_.end()) {
+    return;
   }
-  upstream.in_flight.erase(sent);
-  switch (event.how) {
-    case attempt_end::kSucceeded:
-      upstream.health.CountSuccess();
-      break;
-    case attempt_end::kFailed:
-      upstream.health.CountFailure(now_);
-      break;
-    case attempt_end::kUnreachable:
-      upstream.health.CountUnreachable(now_);
-      break;
-    case attempt_end::kRefused:
-    case attempt_end::kAbandoned:
-      break;
+  const auto at = upstreams_.find(found->second);
+  started_.erase(found);
+  if (at != upstreams_.end()) {
+    at->second.End(event.id, event.how, now_);
+    Dispatch(at->second.entry().service);
   }
-  Dispatch(upstream.entry.service);
 }
 
 void dispatcher::On(const upstreams_changed& event) {
@@ -119,12 +103,7 @@
                                               : upstreams_.erase(at);
   }
   for (const auto& [id, entry] : *event.upstreams) {
-    upstream_state& known = upstreams_[id];
-    if (known.entry.started_ms != entry.started_ms ||
-        known.entry.address != entry.address) {
-      known = {};
-    }
-    known.entry = entry;
+    upstreams_[id].Update(entry);
   }
   DispatchAll();
 }
@@ -134,11 +113,11 @@
   if (found == upstreams_.end()) {
     return;
   }
-  found->second.load = event.load;
-  found->second.load_at = now_;
-  found->second.ended_since_load = 0;
+  tracked_upstream& upstream = found->second;
+  upstream.Report(event.load, now_);
   entries_ = std::max<std::size_t>(1, event.load.entries);
-  Dispatch(found->second.entry.service);
+  upstream.set_permits(DrawPermits(upstream));
+  Dispatch(upstream.entry().service);
 }
 
 void dispatcher::On(const version_named& event) {
@@ -165,7 +144,7 @@
     const work_id id = at->second;
     const submit request = waiting_.at(id).request;
     ++at;
-    upstream_state* upstream = Choose(request);
+    tracked_upstream* upstream = Choose(request);
     if (upstream == nullptr) {
       if (request.excluded.empty() && !request.version) {
         break;  // requests behind it are less urgent
@@ -175,19 +154,24 @@
     double& virtual_time = queue.virtual_time[request.priority];
     virtual_time = std::max(virtual_time, std::get<2>(waiting_.at(id).key));
     Remove(id);
-    upstream->in_flight.emplace(id, now_);
-    started_.emplace(id, upstream->entry.id);
+    upstream->Send(id, request.read_time, now_);
+    if (Allowance(request) < 0) {
+      upstream->set_permits(upstream->permits() - 1);
+    }
+    started_.emplace(id, upstream->entry().id);
     CountStart(queue);
-    const std::uint64_t version = VersionOf(*upstream, request.model);
-    actions_.emplace_back(start{id, upstream->entry, version,
+    const std::uint64_t version =
+        upstream->VersionOf(request.model, policy_, now_);
+    actions_.emplace_back(start{id, upstream->entry(), version,
                                 targets_.EndOf(request.model, version, now_)});
   }
 }
 
-bool dispatcher::IsEligible(const upstream_state& upstream,
+bool dispatcher::IsEligible(const tracked_upstream& upstream,
                             const submit& request) const {
-  if (upstream.entry.service != request.service || upstream.entry.draining ||
-      request.excluded.contains(upstream.entry.id)) {
+  const upstream_entry& entry = upstream.entry();
+  if (entry.service != request.service || entry.draining ||
+      request.excluded.contains(entry.id)) {
     return false;
   }
   if (request.model.empty()) {
@@ -195,7 +179,8 @@
   }
   // A request may wait at a replica, so that none is sent to one whose weights
   // are about to be superseded.
-  const std::uint64_t version = VersionOf(upstream, request.model);
+  const std::uint64_t version =
+      upstream.VersionOf(request.model, policy_, now_);
   const std::optional<time_point> end =
       targets_.EndOf(request.model, version, now_);
   if (version == 0 || (end && *end < now_ + policy_.begin_reserve)) {
@@ -204,94 +189,97 @@
   return !request.version || *request.version == version;
 }
 
-dispatcher::upstream_state* dispatcher::Choose(const submit& request) {
-  upstream_state* best = nullptr;
-  auto best_cost = duration::max();
-  bool any_available = false;
-  for (auto& [id, upstream] : upstreams_) {
-    any_available |=
-        IsEligible(upstream, request) && !upstream.health.is_ejected(now_);
-  }
+tracked_upstream* dispatcher::Choose(const submit& request) {
+  const bool any_available =
+      std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& item) {
+        return IsEligible(item.second, request) &&
+               !item.second.health().is_ejected(now_);
+      });
+  std::vector<tracked_upstream*> near;
+  std::vector<tracked_upstream*> far;
   for (auto& [id, upstream] : upstreams_) {
-    if (!IsEligible(upstream, request)) {
+    if (!IsEligible(upstream, request) || !HasRoom(upstream, request)) {
       continue;
     }
     // If every upstream is ejected, the judgement is worth less than a try.
     if (any_available &&
-        !upstream.health.IsAvailable(now_, upstream.in_flight.empty())) {
-      continue;
-    }
-    const bool fresh = HasFreshLoad(upstream);
-    if (fresh && (upstream.load->loading || !upstream.load->reachable)) {
-      continue;
-    }
-    const double load = ExpectedLoad(upstream);
-    const double allowance =
-        request.model.empty() ? kPlainAllowance : Allowance(request.urgency);
-    if (load >= static_cast<double>(upstream.entry.slots) + allowance) {
+        !upstream.health().IsAvailable(now_, upstream.is_idle())) {
       continue;
     }
-    duration cost = ExpectedWait(upstream, load);
-    if (fresh) {
-      // The link of the replica may be full; the report took the same way.
-      cost += upstream.load->path_delay;
-      if (upstream.load->path_delay > policy_.longest_path_delay) {
-        continue;
-      }
-    }
-    if (upstream.entry.data_centre != policy_.data_centre) {
-      cost += policy_.remote_penalty;
-    }
-    if (!request.model.empty() && !fresh && upstream.load) {
-      cost += policy_.silence_penalty;
-    }
-    // Entries that see the same reports must not all choose the same replica.
-    cost += duration(random_.Below(
-        static_cast<std::uint64_t>(policy_.wait_per_active.count())));
-    if (cost < best_cost) {
-      best = &upstream;
-      best_cost = cost;
+    const bool same = upstream.entry().data_centre == policy_.data_centre;
+    (same ? near : far).push_back(&upstream);
+  }
+  std::vector<tracked_upstream*> nearest_and_other;
+  for (auto* group : {&near, &far}) {
+    if (tracked_upstream* best = CheapestOfSome(std::move(*group))) {
+      nearest_and_other.push_back(best);
     }
   }
-  return best;
+  return nearest_and_other.empty()
+             ? nullptr
+             : *std::min_element(nearest_and_other.begin(),
+                                 nearest_and_other.end(),
+                                 [this](const auto* a, const auto* b) {
+                                   return ExpectedDelay(*a) < ExpectedDelay(*b);
+                                 });
 }
 
-std::uint64_t dispatcher::VersionOf(const upstream_state& upstream,
-                                    const model_name& model) const {
-  const auto& versions = HasFreshLoad(upstream) ? upstream.load->model_versions
-                                                : upstream.entry.model_versions;
-  const auto found = versions.find(model);
-  return found == versions.end() ? 0 : found->second;
+tracked_upstream* dispatcher::CheapestOfSome(
+    std::vector<tracked_upstream*> group) {
+  tracked_upstream* best = nullptr;
+  const std::size_t choices = std::min(policy_.choices, group.size());
+  for (std::size_t i = 0; i < choices; ++i) {
+    std::swap(group[i], group[i + random_.Below(group.size() - i)]);
+    if (best == nullptr || ExpectedDelay(*group[i]) < ExpectedDelay(*best)) {
+      best = group[i];
+    }
+  }
+  return best;
 }
 
-bool dispatcher::HasFreshLoad(const upstream_state& upstream) const {
-  return upstream.load && upstream.load_at + policy_.report_lifetime > now_;
+bool dispatcher::HasRoom(const tracked_upstream& upstream,
+                         const submit& request) const {
+  const double allowance = Allowance(request);
+  if (upstream.HasFreshLoad(policy_, now_)) {
+    const upstream_load& load = *upstream.load();
+    if (load.loading || !load.reachable ||
+        load.path_delay > policy_.longest_path_delay ||
+        (allowance < 0 && upstream.permits() <= 0)) {
+      return false;
+    }
+  }
+  return upstream.ExpectedLoad(policy_, now_) <
+         static_cast<double>(upstream.entry().slots) + allowance;
 }
 
-double dispatcher::ExpectedLoad(const upstream_state& upstream) const {
-  const auto own = static_cast<double>(upstream.in_flight.size());
-  if (!HasFreshLoad(upstream)) {
-    return upstream.load ? own * policy_.unseen_factor : own;
+duration dispatcher::ExpectedDelay(const tracked_upstream& upstream) const {
+  duration delay = upstream.ExpectedWait(policy_, now_);
+  if (upstream.HasFreshLoad(policy_, now_)) {
+    // The link of the replica may be full; the report took the same way.
+    delay += upstream.load()->path_delay;
+  } else if (upstream.load()) {
+    delay += policy_.silence_penalty;
   }
-  double load = upstream.load->active + upstream.load->queued;
-  for (const auto& [id, sent] : upstream.in_flight) {
-    load += sent + policy_.report_lag >= upstream.load_at ? 1 : 0;
+  if (upstream.entry().data_centre != policy_.data_centre) {
+    delay += policy_.remote_penalty;
   }
-  return std::max(own, load - upstream.ended_since_load);
+  return delay;
 }
 
-duration dispatcher::ExpectedWait(const upstream_state& upstream,
-                                  double load) const {
-  const auto slots = static_cast<double>(upstream.entry.slots);
-  const double active = std::min(load, slots);
-  const double queued = std::max(0.0, load + 1 - slots);
-  return duration(static_cast<duration::rep>(
-      active * static_cast<double>(policy_.wait_per_active.count()) +
-      queued * static_cast<double>(policy_.wait_per_queued.count())));
+int dispatcher::DrawPermits(const tracked_upstream& upstream) {
+  const double room = static_cast<double>(upstream.entry().slots) +
+                      policy_.queue_allowance.back() -
+                      upstream.ExpectedLoad(policy_, now_);
+  const double share = std::max(0.0, room) / static_cast<double>(entries_);
+  const double whole = std::floor(share);
+  return static_cast<int>(whole) + (random_.Fraction() < share - whole ? 1 : 0);
 }
 
-double dispatcher::Allowance(int priority) const {
-  const auto index = static_cast<std::size_t>(std::max(0, priority));
+double dispatcher::Allowance(const submit& request) const {
+  if (request.model.empty()) {
+    return policy_.plain_allowance;
+  }
+  const auto index = static_cast<std::size_t>(std::max(0, request.urgency));
   return policy_.queue_allowance.at(
       std::min(index, policy_.queue_allowance.size() - 1));
 }
--- /dev/null
+++ b/src/placement/tracked_upstream.cc
@@ -0,0 +1,105 @@
+#include "fireflyslip/placement/tracked_upstream.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fireflyslip {
+namespace {
+
+/// Requests sent this long before a report arrived may be missing in it.
+constexpr duration kReportLag = milliseconds(5);
+
+}  // namespace
+
+void tracked_upstream::Update(const upstream_entry& entry) {
+  if (entry_.started_ms != entry.started_ms ||
+      entry_.address != entry.address) {
+    *this = {};
+  }
+  entry_ = entry;
+}
+
+void tracked_upstream::Send(work_id id, duration read_time, time_point now) {
+  in_flight_.emplace(id, sent_request{now, read_time});
+  reading_ += read_time;
+}
+
+void tracked_upstream::Begin(work_id id) {
+  const auto sent = in_flight_.find(id);
+  if (sent != in_flight_.end()) {
+    reading_ -= std::exchange(sent->second.read_time, duration(0));
+  }
+}
+
+void tracked_upstream::End(work_id id, attempt_end how, time_point now) {
+  const auto sent = in_flight_.find(id);
+  if (sent == in_flight_.end()) {
+    return;  // an earlier incarnation of the upstream
+  }
+  if (sent->second.sent + kReportLag < load_at_) {
+    ended_since_load_ += 1;
+  }
+  reading_ -= sent->second.read_time;
+  in_flight_.erase(sent);
+  switch (how) {
+    case attempt_end::kSucceeded:
+      health_.CountSuccess();
+      break;
+    case attempt_end::kFailed:
+      health_.CountFailure(now);
+      break;
+    case attempt_end::kUnreachable:
+      health_.CountUnreachable(now);
+      break;
+    case attempt_end::kRefused:
+    case attempt_end::kAbandoned:
+      break;
+  }
+}
+
+void tracked_upstream::Report(const upstream_load& load, time_point now) {
+  load_ = load;
+  load_at_ = now;
+  ended_since_load_ = 0;
+}
+
+bool tracked_upstream::HasFreshLoad(const placement_policy& policy,
+                                    time_point now) const {
+  return load_ && load_at_ + policy.report_lifetime > now;
+}
+
+double tracked_upstream::ExpectedLoad(const placement_policy& policy,
+                                      time_point now) const {
+  const auto own = static_cast<double>(in_flight_.size());
+  if (!HasFreshLoad(policy, now)) {
+    return load_ ? own * policy.unseen_factor : own;
+  }
+  double load = load_->active + load_->queued;
+  for (const auto& [id, request] : in_flight_) {
+    load += request.sent + kReportLag >= load_at_ ? 1 : 0;
+  }
+  return std::max(own, load - ended_since_load_);
+}
+
+duration tracked_upstream::ExpectedWait(const placement_policy& policy,
+                                        time_point now) const {
+  const double load = ExpectedLoad(policy, now);
+  const auto slots = static_cast<double>(entry_.slots);
+  const double active = std::min(load, slots);
+  const double queued = std::max(0.0, load + 1 - slots);
+  const double wait =
+      active * static_cast<double>(policy.wait_per_active.count()) +
+      queued * static_cast<double>(policy.wait_per_queued.count());
+  return reading_ + duration(static_cast<duration::rep>(wait));
+}
+
+std::uint64_t tracked_upstream::VersionOf(const model_name& model,
+                                          const placement_policy& policy,
+                                          time_point now) const {
+  const auto& versions =
+      HasFreshLoad(policy, now) ? load_->model_versions : entry_.model_versions;
+  const auto found = versions.find(model);
+  return found == versions.end() ? 0 : found->second;
+}
+
+}  // namespace fireflyslip
