Refuse at once what cannot begin in time, and keep late work behind

The expected wait counted the starts of all kinds, though background requests only get the places that urgent ones leave.

Ruled out: telling a returning client by the patience it has left. Deadlines of first attempts are spread between 3.5 and 6 s.

Change: a request waits for 0.4 of the time until its latest send, which follows from the measured time from send to first event. If its queue takes longer by the rate of places for background work, it is refused at once with a delay after which it can still be in time. Requests that are late already wait behind the others; one whose stream has begun waits on instead of being refused. Three slots stay free for urgent work instead of four.

--- a/include/fireflyslip/placement.h
+++ b/include/fireflyslip/placement.h
@@ -5,6 +5,7 @@
 /// which ones wait, and which ones are refused.
 
 #include "fireflyslip/placement/attempt_policy.h"
+#include "fireflyslip/placement/decaying_rate.h"
 #include "fireflyslip/placement/dispatcher.h"
 #include "fireflyslip/placement/placement_policy.h"
 #include "fireflyslip/placement/retry_window.h"
--- a/include/fireflyslip/placement/dispatcher.h
+++ b/include/fireflyslip/placement/dispatcher.h
@@ -16,6 +16,7 @@
 #include "fireflyslip/core/decision_core.h"
 #include "fireflyslip/core/error.h"
 #include "fireflyslip/core/random_source.h"
+#include "fireflyslip/placement/decaying_rate.h"
 #include "fireflyslip/placement/placement_policy.h"
 #include "fireflyslip/placement/tracked_upstream.h"
 #include "fireflyslip/placement/upstream_load.h"
@@ -28,8 +29,11 @@
 /// between data centres, and bursts of the least and of the most urgent work
 /// follow each other. Requests wait here rather than at a replica, so that they
 /// can go to whichever replica has room first; they wait by priority, then
-/// fairly over workspaces by cost. A request that cannot be placed within the
-/// time in which its answer is still useful is refused at once.
+/// fairly over workspaces by cost. Requests whose answer can still begin in
+/// time go before those that are late already. A request that is not expected
+/// to begin in time is refused at once, with a delay after which it still can;
+/// one that has been refused before waits on, because its client does not
+/// return again.
 ///
 /// Several entries choose by the same reports, which are as old as the interval
 /// between them. To keep the entries from all sending to the replica that
@@ -48,7 +52,8 @@
     double cost = 1;   ///< Any unit that is the same for all requests.
     duration read_time = {};  ///< For which a replica reads the prompt.
     bool returning = false;   ///< Was refused or interrupted before.
-    time_point wait_until;    ///< Placed by then or refused.
+    time_point due;           ///< The answer should begin by then.
+    time_point end;           ///< The client leaves then.
     std::set<upstream_id> excluded;
     /// Only upstreams that serve this version; set to continue a stream.
     std::optional<std::uint64_t> version;
@@ -138,11 +143,12 @@
   std::size_t entries() const { return entries_; }
 
  private:
-  // Order within a service: priority, returning requests, virtual time.
-  using queue_key = std::tuple<int, int, double, work_id>;
+  enum class wait_class { kReturningInTime, kInTime, kLate };
+  // Order within a service: priority, class, virtual time.
+  using queue_key = std::tuple<int, wait_class, double, work_id>;
   struct waiting_request {
     submit request;
-    time_point since;
+    time_point until;  // placed by then, or refused
     queue_key key;
   };
   struct service_queue {
@@ -150,8 +156,9 @@
     // Start-time fair queueing within each priority.
     std::map<int, double> virtual_time;
     std::map<std::pair<int, workspace_id>, double> finish_tags;
-    double starts_per_s = 0;  // recent, for the expected wait
-    time_point rate_at;
+    decaying_rate starts;                 // for the expected wait
+    decaying_rate permits;                // the same for background requests
+    std::map<int, duration> begin_times;  // by urgency; from send to answer
   };
 
   void On(const tick& event);
@@ -174,12 +181,17 @@
   duration ExpectedDelay(const tracked_upstream& upstream) const;
   int DrawPermits(const tracked_upstream& upstream);
   double Allowance(const submit& request) const;
+  bool IsBackground(const submit& request) const {
+    return Allowance(request) < 0;
+  }
+  duration BeginTime(const service_queue& queue, const submit& request) const;
+  void Enqueue(const submit& request, wait_class order, time_point until);
+  void EndWait(work_id id);
   void Refuse(work_id id, error_kind kind);
   void Remove(work_id id);
-  void CountStart(service_queue& queue);
   std::optional<duration> QueueDelay(const service_queue& queue,
-                                     const queue_key& key) const;
-  duration RetryAfter(duration expected);
+                                     const waiting_request& waiting) const;
+  duration RetryAfter(const waiting_request& waiting);
 
   placement_policy policy_;
   version_targets targets_;
@@ -188,7 +200,13 @@
   std::map<service_name, service_queue> queues_;
   std::map<work_id, waiting_request> waiting_;
   std::set<std::pair<time_point, work_id>> wait_ends_;
-  std::map<work_id, upstream_id> started_;
+  struct started_request {
+    upstream_id upstream;
+    service_name service;
+    int urgency = 0;
+    time_point sent;
+  };
+  std::map<work_id, started_request> started_;
   std::size_t entries_ = 1;
   time_point now_;
   std::vector<action> actions_;
--- a/include/fireflyslip/placement/placement_policy.h
+++ b/include/fireflyslip/placement/placement_policy.h
@@ -16,7 +16,7 @@
   /// Requests that may be at a replica beyond its slots, by urgency; the last
   /// one holds for all further ones. A negative number leaves slots free, so
   /// that more urgent requests need not wait for one.
-  std::array<double, 3> queue_allowance = {4, 1, -4};
+  std::array<double, 3> queue_allowance = {4, 1, -3};
   /// The same for upstreams without an engine; a few keep them busy.
   double plain_allowance = 4;
   /// Upstreams of the own data centre, and of the others, that are compared.
@@ -43,6 +43,16 @@
   /// Added for an upstream whose reports have stopped; it may be cut off.
   duration silence_penalty = milliseconds(250);
 
+  /// Assumed time from the send of a request to the first part of its answer,
+  /// until answers have told it.
+  duration begin_time = milliseconds(150);
+  /// Part of the time until its latest send for which a request waits. Its
+  /// client may have been refused before, so that less is left than it seems,
+  /// and one that is refused early can still be in time when it returns.
+  double wait_share = 0.4;
+  /// Time for which a request waits whose answer will be late.
+  duration late_wait = milliseconds(500);
+
   /// Time for which a request may wait at a replica before it begins.
   duration begin_reserve = milliseconds(700);
 
@@ -50,9 +60,13 @@
   /// left when it arrives.
   duration longest_path_delay = milliseconds(600);
 
-  /// Bounds and spread of the delay after which a refused caller returns.
+  /// Part of the time for which a request would have waited, after which it
+  /// returns if it is refused at once.
+  double retry_share = 0.5;
+  /// Bounds of the delay after which a late caller returns.
   duration min_retry_after = milliseconds(250);
   duration max_retry_after = milliseconds(1500);
+  /// Spread of both delays, so that callers do not return together.
   double retry_after_spread = 0.3;
 
   bool operator==(const placement_policy&) const = default;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -18,9 +18,6 @@
 constexpr int kFirstServerError = 500;
 /// Used when neither the client nor its route bounds the time.
 constexpr seconds kLongestRequest{60};
-/// Part of the target latency for which a request waits for an upstream. The
-/// rest is for the upstream, so that the answer is still in time.
-constexpr double kWaitShare = 0.45;
 /// Wait of a broken stream for an upstream that continues it; clients give up
 /// after a gap of two seconds or more.
 constexpr milliseconds kResumeWait{1500};
@@ -216,10 +213,6 @@
   refused_.reset();
   const time_point now = MonotonicNow();
   const bool first = history_.tried == 0;
-  const duration wait =
-      stream_begun_
-          ? duration(kResumeWait)
-          : FromSeconds(ToSeconds(route_->target_latency) * kWaitShare);
   dispatcher::submit work;
   work.id = id_;
   work.service = service_;
@@ -230,7 +223,9 @@
   work.cost = Cost();
   work.read_time = ReadTime();
   work.returning = !first;
-  work.wait_until = std::min(end_, now + wait);
+  work.due =
+      stream_begun_ ? now + kResumeWait : received_ + route_->target_latency;
+  work.end = end_;
   work.excluded = excluded_;
   work.version = stream_begun_ ? stream_version_ : std::nullopt;
   owner_.Submit(std::move(work));
--- a/src/placement/dispatcher.cc
+++ b/src/placement/dispatcher.cc
@@ -11,8 +11,6 @@
 namespace fireflyslip {
 namespace {
 
-/// Time constant of the rate of starts that predicts waits.
-constexpr duration kRateHorizon = seconds(1);
 /// Below this rate there is too little to predict waits from.
 constexpr double kMinRate = 1;  // starts a second
 
@@ -43,28 +41,32 @@
 void dispatcher::On(const tick& /*event*/) {
   DispatchAll();
   while (!wait_ends_.empty() && wait_ends_.begin()->first <= now_) {
-    Refuse(wait_ends_.begin()->second, error_kind::kOverloaded);
+    EndWait(wait_ends_.begin()->second);
   }
 }
 
 void dispatcher::On(const submit& event) {
   assert(!waiting_.contains(event.id) && !started_.contains(event.id));
   service_queue& queue = queues_[event.service];
-  double& virtual_time = queue.virtual_time[event.priority];
-  double& finish = queue.finish_tags[{event.priority, event.workspace}];
-  const double tag = std::max(virtual_time, finish);
-  finish = tag + event.cost;
-  const queue_key key{event.priority, event.returning ? 0 : 1, tag, event.id};
-  queue.order.emplace(key, event.id);
-  waiting_.emplace(event.id, waiting_request{event, now_, key});
-  wait_ends_.emplace(event.wait_until, event.id);
+  const double longest = ToSeconds(event.due - BeginTime(queue, event) - now_) *
+                         policy_.wait_share;
+  const time_point in_time = std::min(event.end, now_ + FromSeconds(longest));
+  if (in_time > now_) {
+    Enqueue(
+        event,
+        event.returning ? wait_class::kReturningInTime : wait_class::kInTime,
+        in_time);
+  } else {
+    Enqueue(event, wait_class::kLate,
+            std::min(event.end, now_ + policy_.late_wait));
+  }
   Dispatch(event.service);
   const auto still = waiting_.find(event.id);
-  if (still == waiting_.end()) {
+  if (still == waiting_.end() || event.returning) {
     return;
   }
-  const std::optional<duration> delay = QueueDelay(queue, key);
-  if (delay && now_ + *delay > event.wait_until) {
+  const std::optional<duration> delay = QueueDelay(queue, still->second);
+  if (delay && now_ + *delay > still->second.until) {
     Refuse(event.id, error_kind::kOverloaded);
   }
 }
@@ -78,7 +80,15 @@
   if (found == started_.end()) {
     return;
   }
-  const auto at = upstreams_.find(found->second);
+  /// Weight of one request in the mean time to the first part of an answer.
+  constexpr int kWeight = 8;
+  const started_request& request = found->second;
+  duration& mean =
+      queues_[request.service]
+          .begin_times.try_emplace(request.urgency, policy_.begin_time)
+          .first->second;
+  mean += (now_ - request.sent - mean) / kWeight;
+  const auto at = upstreams_.find(request.upstream);
   if (at != upstreams_.end()) {
     at->second.Begin(event.id);
   }
@@ -89,7 +99,7 @@
   if (found == started_.end()) {
     return;
   }
-  const auto at = upstreams_.find(found->second);
+  const auto at = upstreams_.find(found->second.upstream);
   started_.erase(found);
   if (at != upstreams_.end()) {
     at->second.End(event.id, event.how, now_);
@@ -116,7 +126,9 @@
   tracked_upstream& upstream = found->second;
   upstream.Report(event.load, now_);
   entries_ = std::max<std::size_t>(1, event.load.entries);
-  upstream.set_permits(DrawPermits(upstream));
+  const int permits = DrawPermits(upstream);
+  upstream.set_permits(permits);
+  queues_[upstream.entry().service].permits.Count(permits, now_);
   Dispatch(upstream.entry().service);
 }
 
@@ -155,11 +167,12 @@
     virtual_time = std::max(virtual_time, std::get<2>(waiting_.at(id).key));
     Remove(id);
     upstream->Send(id, request.read_time, now_);
-    if (Allowance(request) < 0) {
+    if (IsBackground(request)) {
       upstream->set_permits(upstream->permits() - 1);
     }
-    started_.emplace(id, upstream->entry().id);
-    CountStart(queue);
+    started_.emplace(id, started_request{upstream->entry().id, request.service,
+                                         request.urgency, now_});
+    queue.starts.Count(1, now_);
     const std::uint64_t version =
         upstream->VersionOf(request.model, policy_, now_);
     actions_.emplace_back(start{id, upstream->entry(), version,
@@ -244,7 +257,7 @@
     const upstream_load& load = *upstream.load();
     if (load.loading || !load.reachable ||
         load.path_delay > policy_.longest_path_delay ||
-        (allowance < 0 && upstream.permits() <= 0)) {
+        (IsBackground(request) && upstream.permits() <= 0)) {
       return false;
     }
   }
@@ -284,18 +297,51 @@
       std::min(index, policy_.queue_allowance.size() - 1));
 }
 
+duration dispatcher::BeginTime(const service_queue& queue,
+                               const submit& request) const {
+  if (request.model.empty()) {
+    return duration(0);
+  }
+  const auto known = queue.begin_times.find(request.urgency);
+  return known == queue.begin_times.end() ? policy_.begin_time : known->second;
+}
+
+void dispatcher::Enqueue(const submit& request,
+                         wait_class order,
+                         time_point until) {
+  service_queue& queue = queues_[request.service];
+  double& finish = queue.finish_tags[{request.priority, request.workspace}];
+  const double tag = std::max(queue.virtual_time[request.priority], finish);
+  finish = tag + request.cost;
+  const queue_key key{request.priority, order, tag, request.id};
+  queue.order.emplace(key, request.id);
+  waiting_.emplace(request.id, waiting_request{request, until, key});
+  wait_ends_.emplace(until, request.id);
+}
+
+void dispatcher::EndWait(work_id id) {
+  const waiting_request entry = waiting_.at(id);
+  const time_point until =
+      std::min(entry.request.end, now_ + policy_.late_wait);
+  if (entry.request.returning && until > now_ &&
+      std::get<1>(entry.key) != wait_class::kLate) {
+    Remove(id);
+    Enqueue(entry.request, wait_class::kLate, until);
+    return;
+  }
+  Refuse(id, error_kind::kOverloaded);
+}
+
 void dispatcher::Refuse(work_id id, error_kind kind) {
   const waiting_request entry = waiting_.at(id);
-  const service_queue& queue = queues_.at(entry.request.service);
-  const duration delay =
-      QueueDelay(queue, entry.key).value_or(policy_.min_retry_after);
   bool reachable = false;
   for (const auto& [upstream, state] : upstreams_) {
     reachable |= IsEligible(state, entry.request);
   }
+  const duration retry_after = RetryAfter(entry);
   Remove(id);
-  actions_.emplace_back(refuse{id, reachable ? kind : error_kind::kNoUpstream,
-                               RetryAfter(delay)});
+  actions_.emplace_back(
+      refuse{id, reachable ? kind : error_kind::kNoUpstream, retry_after});
 }
 
 void dispatcher::Remove(work_id id) {
@@ -305,38 +351,40 @@
   }
   const waiting_request& entry = found->second;
   queues_.at(entry.request.service).order.erase(entry.key);
-  wait_ends_.erase({entry.request.wait_until, id});
+  wait_ends_.erase({entry.until, id});
   waiting_.erase(found);
 }
 
-void dispatcher::CountStart(service_queue& queue) {
-  const double passed = ToSeconds(now_ - queue.rate_at);
-  const double horizon = ToSeconds(kRateHorizon);
-  queue.starts_per_s =
-      queue.starts_per_s * std::exp(-passed / horizon) + 1 / horizon;
-  queue.rate_at = now_;
-}
-
-std::optional<duration> dispatcher::QueueDelay(const service_queue& queue,
-                                               const queue_key& key) const {
-  const double passed = ToSeconds(now_ - queue.rate_at);
-  const double rate =
-      queue.starts_per_s * std::exp(-passed / ToSeconds(kRateHorizon));
+std::optional<duration> dispatcher::QueueDelay(
+    const service_queue& queue,
+    const waiting_request& waiting) const {
+  const bool background = IsBackground(waiting.request);
+  const double rate = (background ? queue.permits : queue.starts).At(now_);
   if (rate < kMinRate) {
     return std::nullopt;
   }
-  const auto ahead =
-      std::distance(queue.order.begin(), queue.order.lower_bound(key));
+  const auto first =
+      background ? queue.order.lower_bound({waiting.request.priority,
+                                            wait_class::kReturningInTime, 0, 0})
+                 : queue.order.begin();
+  const auto ahead = std::distance(first, queue.order.find(waiting.key));
   return FromSeconds(static_cast<double>(ahead) / rate);
 }
 
-duration dispatcher::RetryAfter(duration expected) {
-  const duration base = std::clamp<duration>(expected, policy_.min_retry_after,
-                                             policy_.max_retry_after);
+duration dispatcher::RetryAfter(const waiting_request& waiting) {
+  const duration left = waiting.until - now_;
+  const bool in_time =
+      std::get<1>(waiting.key) != wait_class::kLate && left > duration(0);
+  const duration worked_off =
+      QueueDelay(queues_.at(waiting.request.service), waiting)
+          .value_or(policy_.min_retry_after);
+  const duration base =
+      in_time ? FromSeconds(ToSeconds(left) * policy_.retry_share)
+              : std::clamp<duration>(worked_off, policy_.min_retry_after,
+                                     policy_.max_retry_after);
   const double factor =
       1 + policy_.retry_after_spread * (2 * random_.Fraction() - 1);
-  return duration(
-      static_cast<duration::rep>(static_cast<double>(base.count()) * factor));
+  return FromSeconds(ToSeconds(base) * factor);
 }
 
 }  // namespace fireflyslip
