Change the second half of the replicas at 0.65 of the rollout time

Weights are staged 3.5 s after a version is named and the second half of the replicas changed from 4 s on, while the first half still ended the streams that it ran: nearly all replicas were away together.

Change: the second half changes at 0.65 of the time in which requests may begin on old weights (5.2 s of 8 s).

The test fails with 4 s and passes with 5.2 s.

--- a/include/fireflyslip/staging/weight_stager.h
+++ b/include/fireflyslip/staging/weight_stager.h
@@ -45,8 +45,9 @@
   duration stall_time = milliseconds(1200);
   /// Time after the naming of a version at which the second half of the
   /// replicas change to it. The first half changes as soon as it can, so that
-  /// only half of the capacity is missing at a time.
-  duration second_wave_after = milliseconds(4000);
+  /// only half of the capacity is missing at a time. A replica is away until
+  /// its longest stream has ended, about two seconds.
+  duration second_wave_after = milliseconds(5200);
 
   auto operator<=>(const staging_policy&) const = default;
 };
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -36,6 +36,16 @@
 /// need the rest, without long pauses between events.
 constexpr double kLinkShare = 0.85;
 
+staging_policy StagingPolicy(const node_settings& settings) {
+  /// Part of the rollout time after which the second half of the replicas
+  /// change; the rest is for the streams that they run, and for the load.
+  constexpr double kSecondWave = 0.65;
+  staging_policy policy;
+  policy.second_wave_after =
+      FromSeconds(ToSeconds(settings.rollout) * kSecondWave);
+  return policy;
+}
+
 weight_stager::fetch_result FetchResultOf(error_kind kind) {
   switch (kind) {
     case error_kind::kNotFound:
@@ -75,7 +85,8 @@
                 {platform::kVersionKind, kVersionWait, duration(0)},
                 VersionHandlers(),
                 seed),
-      core_(weight_stager({}, {settings.address, settings.region, false}),
+      core_(weight_stager(StagingPolicy(settings),
+                          {settings.address, settings.region, false}),
             timers_,
             [this](const weight_stager::action& action) { Apply(action); }) {}
 
--- a/tests/staging/weight_stager_test.cc
+++ b/tests/staging/weight_stager_test.cc
@@ -106,6 +106,31 @@
   EXPECT_TRUE(core_.IsAboutToLoad());
 }
 
+// quiet-1 of both sites: guards against a second half of the replicas that
+// changes while the first half still ends its streams, which takes two seconds
+// after the weights came at about 3.5 s.
+TEST_F(weight_stager_test, Staged_SecondHalf_WaitsForTheFirst) {
+  int at_once = 0;
+  int later = 0;
+  for (const char* address : {"10.0.0.1", "10.0.0.2"}) {
+    core_ = weight_stager({}, {address, region_id("a"), false});
+    actions_.clear();
+    now_ = time_point(seconds(100));
+    Handle(weight_stager::peers_changed{{{"10.0.0.1", region_id("a"), false},
+                                         {"10.0.0.2", region_id("a"), false}},
+                                        region_id("a")});
+    Observe(1);
+    Name(2);
+    CompleteStaging();
+    Pass(milliseconds(5000));
+    at_once += static_cast<int>(Take<weight_stager::announce>().size());
+    Pass(milliseconds(500));
+    later += static_cast<int>(Take<weight_stager::announce>().size());
+  }
+  EXPECT_EQ(at_once, 1);
+  EXPECT_EQ(later, 1);
+}
+
 // The origin failed half a second after a third version was named (scale-1 of
 // tui-lane): guards against dropping a second one that is nearly there.
 TEST_F(weight_stager_test, IsReplaceable_InProgress_OnlyWhenOrderedOrStalled) {
