Send no request over a way of more than 0.3 s

Ways of up to 0.6 s were used, though an answer should begin within 0.4 s.

Ruled out: a close that was passed on late; it takes the same way as the request.

Change: the longest way is 0.3 s. The test fails without it.

--- a/include/fireflyslip/placement/placement_policy.h
+++ b/include/fireflyslip/placement/placement_policy.h
@@ -58,7 +58,7 @@
 
   /// No request is sent over a way that takes longer: its client might have
   /// left when it arrives.
-  duration longest_path_delay = milliseconds(600);
+  duration longest_path_delay = milliseconds(300);
 
   /// Part of the time for which a request would have waited, after which it
   /// returns if it is refused at once.
--- a/tests/placement/dispatcher_test.cc
+++ b/tests/placement/dispatcher_test.cc
@@ -267,6 +267,15 @@
   EXPECT_EQ(started_[1], "b");
 }
 
+// Guards against requests that reach a replica after the time in which their
+// answers should have begun, and run for clients that leave meanwhile.
+TEST_F(dispatcher_test, Submit_PathDelayNearTarget_NotChosen) {
+  Add("a");
+  Report("a", 0, 0, false, milliseconds(400));
+  Handle(Work(1));
+  EXPECT_TRUE(started_.empty());
+}
+
 // Guards against requests that begin on superseded weights.
 TEST_F(dispatcher_test, Submit_VersionSuperseded_OnlyNewOne) {
   Add("old");
