--- a/include/fireflyslip/http/http_client.h
+++ b/include/fireflyslip/http/http_client.h
@@ -84,9 +84,14 @@
   /// Fails with `kNoUpstream` if no connection was made, so that nothing was
   /// sent, and with `kUpstreamFailed` if the outcome is not known. A request
   /// that fails on a reused connection is not repeated.
+  /// \param timeout for the whole response, or for its head if `stall` is set.
+  /// \param stall longest time between two parts of the body; zero for none. A
+  /// large body may take long on a link that is full, and would have to be sent
+  /// again from its beginning.
   boost::asio::awaitable<result<http_response>> Request(http_endpoint endpoint,
                                                         http_request request,
-                                                        duration timeout);
+                                                        duration timeout,
+                                                        duration stall = {});
 
   /// \brief Sends a request and reads only the head of the response.
   /// \param max_idle oldest idle connection that is used; zero for a new one.
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -116,7 +116,8 @@
 
   awaitable<result<http_response>> Request(http_endpoint endpoint,
                                            http_request request,
-                                           duration timeout) {
+                                           duration timeout,
+                                           duration stall) {
     const auto self = shared_from_this();
     const auto end = clock_type::now() + timeout;
     result<std::shared_ptr<response_reader>> opened = co_await Open(
@@ -129,7 +130,8 @@
     while (!reader->complete()) {
       const auto left = std::chrono::duration_cast<duration>(
           std::max(end - clock_type::now(), clock_type::duration(0)));
-      result<std::string> part = co_await reader->Read(left);
+      const duration allowed = stall > duration(0) ? stall : left;
+      result<std::string> part = co_await reader->Read(allowed);
       if (!IsOk(part)) {
         co_return ErrorOf(part);
       }
@@ -394,8 +396,10 @@
 
 awaitable<result<http_response>> http_client::Request(http_endpoint endpoint,
                                                       http_request request,
-                                                      duration timeout) {
-  return state_->Request(std::move(endpoint), std::move(request), timeout);
+                                                      duration timeout,
+                                                      duration stall) {
+  return state_->Request(std::move(endpoint), std::move(request), timeout,
+                         stall);
 }
 
 awaitable<result<std::shared_ptr<response_reader>>> http_client::Open(
