Let each gateway follow and use a bounded number of replicas

Cause: every gateway received load reports of every replica.

The number of gateways, by which the retry allowance is split, is estimated from the gateways that replicas count.

Ruled out: reports to all at a lower rate, since a report older than 0.7 s is not used.

--- a/include/fireflyslip/catalog/deployment.h
+++ b/include/fireflyslip/catalog/deployment.h
@@ -31,6 +31,7 @@
 struct weight_origin {
   std::string address;  ///< `ADDRESS:PORT`
   data_centre_id data_centre;
+  double link_mbps = 0;  ///< Bandwidth of its link; 0 if unknown.
 
   auto operator<=>(const weight_origin&) const = default;
 };
--- a/include/fireflyslip/catalog/upstream_entry.h
+++ b/include/fireflyslip/catalog/upstream_entry.h
@@ -19,6 +19,7 @@
   data_centre_id data_centre;
   std::size_t slots = 1;  ///< Maximum number of concurrent requests.
   bool draining = false;
+  bool has_engine = false;  ///< Serves models; a stager runs beside it.
   /// Start time of this incarnation, in Unix milliseconds; an upstream may keep
   /// its id over a restart.
   std::uint64_t started_ms = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -36,8 +36,8 @@
 /// Fraction of the retry allowance that is used, because there may be more
 /// gateways than are known.
 constexpr double kRetryAllowanceFraction = 0.5;
-/// Assumed number of gateways until a report contains it.
-constexpr std::size_t kDefaultGatewayCount = 16;
+/// Assumed number of gateways until reports tell it.
+constexpr double kDefaultGatewayCount = 16;
 /// Fraction of the rollout timeout during which requests may start on a
 /// superseded version; the rest is for the notification of a new version and
 /// for the latency to a replica.
@@ -153,12 +153,15 @@
     }
   }
   upstreams_ = std::move(upstreams);
+  monitored_ = std::make_shared<const upstream_map>(
+      SelectMonitored(*upstreams_, settings_.vm, settings_.data_centre, {}));
+  gateway_count_.SetUpstreams(*upstreams_, *monitored_);
   const bool first = upstreams_by_address_.empty();
   upstreams_by_address_.clear();
-  for (const auto& [id, entry] : *upstreams_) {
+  for (const auto& [id, entry] : *monitored_) {
     upstreams_by_address_[entry.address] = id;
   }
-  Handle(dispatcher::upstreams_changed{upstreams_});
+  Handle(dispatcher::upstreams_changed{monitored_});
   if (first) {
     SubscribeToReports();
   }
@@ -215,9 +218,8 @@
 }
 
 double gateway::RetryAllowance() const {
-  const std::size_t known_gateways = dispatcher_.core().gateways();
-  const auto gateways = static_cast<double>(
-      known_gateways > 1 ? known_gateways : kDefaultGatewayCount);
+  const double estimate = gateway_count_.value();
+  const double gateways = estimate > 1 ? estimate : kDefaultGatewayCount;
   return settings_.retry_allowance * kRetryAllowanceFraction / gateways;
 }
 
@@ -254,6 +256,7 @@
     const auto found = upstreams_by_address_.find(report->engine);
     if (found != upstreams_by_address_.end()) {
       dispatcher::load_reported reported{found->second, report->load};
+      gateway_count_.Report(found->second, report->load.gateways);
       const std::uint64_t now = ClockMicroseconds();
       const std::uint64_t echo_time_us =
           report->echo_us + report->echo_delay_us;
@@ -265,7 +268,7 @@
 }
 
 void gateway::SubscribeToReports() {
-  if (!upstreams_ || !catalog_ || !report_socket_.is_open()) {
+  if (!monitored_ || !report_socket_.is_open()) {
     return;
   }
   load_subscription subscription{settings_.vm, ClockMicroseconds(),
@@ -275,10 +278,9 @@
   subscription.interval = kRemoteReportInterval;
   const std::vector<std::uint8_t> remote_subscription =
       EncodeLoadMessage(subscription);
-  for (const auto& [id, entry] : *upstreams_) {
-    const service_profile* service = catalog_->FindService(entry.service);
+  for (const auto& [id, entry] : *monitored_) {
     const auto endpoint = ParseHttpEndpoint(entry.address);
-    if (service == nullptr || !service->engine || !endpoint) {
+    if (!entry.has_engine || !endpoint) {
       continue;
     }
     boost::system::error_code code;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -85,6 +85,9 @@
   boost::asio::ip::udp::socket report_socket_;
   std::shared_ptr<const deployment> catalog_;
   std::shared_ptr<const upstream_map> upstreams_;
+  /// The upstreams that get requests and whose load is followed.
+  std::shared_ptr<const upstream_map> monitored_;
+  gateway_count_estimate gateway_count_;
   std::map<std::string, upstream_id> upstreams_by_address_;
   std::map<service_name, retry_window> retry_budgets_;
   std::optional<time_point> keys_current_as_of_;
