Keep the origin's link for one copy of new weights

Agents whose chunk had not arrived yet turned to the origin, too, and each agent read the manifest there, so that the first copy was not complete in time (2.1 to 2.4 copies sent). The old weights then ran out and nearly everything was refused for 10 s.

Change: agents that are not assigned to a chunk leave the origin to those that are, by rank; the assigned ones fetch in the order of the chunks at the rate of the origin's link, apart from the window of other transfers. Two agents of a region read the manifest and the others ask those.

--- a/include/fireflyslip/staging/chunk_sources.h
+++ b/include/fireflyslip/staging/chunk_sources.h
@@ -50,6 +50,30 @@
                                          const std::vector<staging_peer>& peers,
                                          const region_id& origin_region);
 
+/// \brief Position of `self` among the agents that fetch a chunk from the
+/// origin: 0 for the one that is assigned to it, 1 and 2 for those that replace
+/// it in turn, 3 for the fetchers of the other regions and 4 for all others.
+///
+/// Load pattern: while the chunks arrive one after the other, most agents wait
+/// for most of them. If they turned to the origin meanwhile, its link would
+/// carry copies that nobody needs, and the first complete one would be late.
+std::size_t OriginRank(std::size_t chunk,
+                       const staging_peer& self,
+                       const std::vector<staging_peer>& peers,
+                       const region_id& origin_region);
+
+/// \brief Sources of the manifest in the order in which `self` tries them.
+///
+/// Load pattern: all agents need the manifest of a new version at the same
+/// time. Read from the origin by each, it takes as much of the origin's link as
+/// the chunks themselves in a fleet of some hundred agents. Two agents of the
+/// origin's region read it there, two of each other region from those, and all
+/// others from those of their region. The origin is the last source of all.
+std::vector<staging_source> ManifestSources(
+    const staging_peer& self,
+    const std::vector<staging_peer>& peers,
+    const region_id& origin_region);
+
 /// \brief Order in which `self` fetches chunks: first those of which it is the
 /// fetcher of its region, because others wait for them. The others follow in
 /// the order in which they become available; each agent starts at a different
--- a/include/fireflyslip/staging/weight_stager.h
+++ b/include/fireflyslip/staging/weight_stager.h
@@ -20,13 +20,21 @@
   /// Concurrent transfers. Most of them wait at a peer that is still receiving
   /// the chunk; the active ones share the link of the VM with streams.
   std::size_t max_parallel_fetches = 10;
-  /// Concurrent transfers from the origin. Chunks that arrive one by one can be
+  /// Concurrent transfers from the origin: the second one uses the link while
+  /// the first one starts or ends. Chunks that arrive one by one can be
   /// forwarded to peers while the next ones are being fetched.
-  std::size_t max_origin_fetches = 1;
+  std::size_t max_origin_fetches = 2;
+  /// Chunks that all agents together transfer from the origin at a time. More
+  /// would all arrive late instead of one after the other, and the transfers
+  /// would exceed their timeout.
+  std::size_t origin_pipeline = 4;
   /// Duration of a transfer above which the link of the VM is taken to be
   /// congested. The number of concurrent transfers is then reduced, so that
   /// requests to the replica are not delayed.
   duration slow_transfer_threshold = milliseconds(250);
+  /// Time after the origin can send a chunk, per rank, for which an agent that
+  /// is not assigned to the chunk leaves the origin to others.
+  duration origin_patience = milliseconds(1500);
   /// Retry delay after a source did not have the chunk. It is short because the
   /// call has already waited at the source.
   duration missing_retry_delay = milliseconds(30);
@@ -69,6 +77,8 @@
     std::size_t chunks = 0;
     /// Whether the local replica may already hold staged chunks of it.
     bool may_be_staged = false;
+    /// Time that the origin's link takes for one chunk; zero if unknown.
+    duration origin_chunk_time = {};
 
     auto operator<=>(const target_assigned&) const = default;
   };
@@ -196,6 +206,7 @@
 
   void Advance();
   void StartFetches();
+  bool HasCapacityFor(const staging_source& source) const;
   void StartFetch(std::size_t chunk, const staging_source& source);
   void StageFetched();
   void AdvanceLoad();
@@ -203,6 +214,11 @@
   bool IsInSecondBatch() const;
   const staging_source& SourceOf(std::size_t chunk) const;
   void PlanSources();
+  /// \brief Delays the chunks that this agent fetches from the origin until the
+  /// origin's link is expected to have capacity for them.
+  void ScheduleOriginFetches();
+  /// \brief Time from which the origin's link has capacity for a chunk.
+  time_point OriginSlot(std::size_t chunk) const;
 
   staging_policy policy_;
   staging_peer self_;
@@ -212,6 +228,7 @@
   time_point assigned_at_;
   std::vector<chunk_state> chunks_;
   std::vector<std::vector<staging_source>> sources_;  // by chunk
+  std::vector<std::size_t> origin_ranks_;             // by chunk
   std::vector<std::size_t> fetch_order_;
   std::size_t active_fetches_ = 0;
   std::size_t fetch_window_ = 1;
--- a/src/stager/chunk_server.cc
+++ b/src/stager/chunk_server.cc
@@ -24,6 +24,8 @@
 /// Longest wait of a request for a chunk that is not available yet; avoids
 /// immediate retries of the peer.
 constexpr milliseconds kMaxChunkWait{1200};
+/// Longest wait of a request for a manifest that is not available yet.
+constexpr milliseconds kMaxManifestWait{500};
 /// Longest wait for the link; beyond it the peer should request the chunk
 /// elsewhere. The sum of both waits is below the timeout of the peer.
 constexpr milliseconds kMaxLinkWait{800};
@@ -60,6 +62,18 @@
   return key;
 }
 
+std::optional<std::uint64_t> ParseManifestPath(std::string_view path) {
+  std::uint64_t version = 0;
+  if (!path.starts_with(kManifestPrefix)) {
+    return std::nullopt;
+  }
+  path.remove_prefix(kManifestPrefix.size());
+  if (!ConsumeNumber(path, version) || !path.empty()) {
+    return std::nullopt;
+  }
+  return version;
+}
+
 }  // namespace
 
 std::string ChunkTarget(std::uint64_t version,
@@ -118,6 +132,9 @@
   for (const auto& [chunk, timer] : waiters_) {
     timer->cancel();
   }
+  for (boost::asio::steady_timer* timer : version_waiters_) {
+    timer->cancel();
+  }
 }
 
 awaitable<void> chunk_server::Serve(http_request request,
@@ -125,10 +142,13 @@
   const std::optional<chunk_key> key = ParseChunkPath(request.path());
   http_response response;
   response.status = kStatusNotFound;
-  if (request.path() == ManifestPath(chunks_.version())) {
-    response.status = kStatusOk;
-    for (const digest& chunk_digest : chunks_.digests()) {
-      response.body += chunk_digest.ToHex() + "\n";
+  if (const auto version = ParseManifestPath(request.path())) {
+    co_await AwaitVersion(*version);
+    if (chunks_.version() == *version) {
+      response.status = kStatusOk;
+      for (const digest& chunk_digest : chunks_.digests()) {
+        response.body += chunk_digest.ToHex() + "\n";
+      }
     }
     co_await writer.Send(std::move(response));
     co_return;
@@ -168,6 +188,18 @@
   }
 }
 
+awaitable<void> chunk_server::AwaitVersion(std::uint64_t version) {
+  const time_point wait_deadline = MonotonicNow() + kMaxManifestWait;
+  while (chunks_.version() < version && MonotonicNow() < wait_deadline) {
+    boost::asio::steady_timer timer(context_, wait_deadline - MonotonicNow());
+    version_waiters_.insert(&timer);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    version_waiters_.erase(&timer);
+  }
+}
+
 awaitable<bool> chunk_server::Pace(std::size_t bytes) {
   const time_point now = MonotonicNow();
   const auto send_start = pacer_.Reserve(bytes, now, kMaxLinkWait);
--- a/src/stager/chunk_server.h
+++ b/src/stager/chunk_server.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,7 +33,8 @@
 /// \brief Serves chunks to the stagers of other VMs. A blocking request for a
 /// chunk that is not available yet waits for it for a limited time. The status
 /// is 404 if the chunk is not available, and 503 if the network link is busy
-/// for too long.
+/// for too long. A request for the manifest of a version that is not being
+/// staged yet waits for it as well.
 class chunk_server {
  public:
   /// \param bytes_per_second maximum total rate of all chunks.
@@ -50,6 +52,8 @@
  private:
   boost::asio::awaitable<void> Serve(http_request request,
                                      response_writer& writer);
+  /// \brief Waits until the version is being staged, for a limited time.
+  boost::asio::awaitable<void> AwaitVersion(std::uint64_t version);
   /// \brief Waits until the link has capacity for the bytes. Returns false if
   /// that takes too long, so that the peer can request the chunk elsewhere.
   boost::asio::awaitable<bool> Pace(std::size_t bytes);
@@ -57,6 +61,7 @@
   boost::asio::io_context& context_;
   const chunk_store& chunks_;
   std::multimap<std::size_t, boost::asio::steady_timer*> waiters_;
+  std::set<boost::asio::steady_timer*> version_waiters_;
   link_pacer pacer_;
   http_server server_;
 };
--- a/src/staging/chunk_sources.cc
+++ b/src/staging/chunk_sources.cc
@@ -46,6 +46,15 @@
   return selected;
 }
 
+std::vector<staging_peer> WithSelf(const std::vector<staging_peer>& peers,
+                                   const staging_peer& self) {
+  std::vector<staging_peer> all = Select(peers, [&](const staging_peer& peer) {
+    return peer.address != self.address;
+  });
+  all.push_back(self);
+  return all;
+}
+
 void Append(const std::vector<std::string>& addresses,
             const std::string& self,
             bool blocking_call,
@@ -68,10 +77,7 @@
                                          const staging_peer& self,
                                          const std::vector<staging_peer>& peers,
                                          const region_id& origin_region) {
-  std::vector<staging_peer> all = Select(peers, [&](const staging_peer& peer) {
-    return peer.address != self.address;
-  });
-  all.push_back(self);
+  const std::vector<staging_peer> all = WithSelf(peers, self);
   const std::string spread_key = std::to_string(chunk) + "/" + self.address;
   const auto same_region = Select(all, [&](const staging_peer& peer) {
     return peer.region == self.region;
@@ -102,6 +108,70 @@
   return sources;
 }
 
+std::size_t OriginRank(std::size_t chunk,
+                       const staging_peer& self,
+                       const std::vector<staging_peer>& peers,
+                       const region_id& origin_region) {
+  constexpr std::size_t kReplacements = 2;
+  const std::vector<staging_peer> all = WithSelf(peers, self);
+  const auto in_region = [&](const region_id& region) {
+    return Select(
+        all, [&](const staging_peer& peer) { return peer.region == region; });
+  };
+  std::vector<staging_peer> group = in_region(origin_region);
+  if (group.empty()) {
+    group = all;
+  }
+  const std::vector<std::string> order = Order(kOrderKey, group);
+  const auto own = std::find(order.begin(), order.end(), self.address);
+  if (own != order.end()) {
+    const auto index = static_cast<std::size_t>(own - order.begin());
+    const std::size_t distance =
+        (index + order.size() - chunk % order.size()) % order.size();
+    if (distance <= kReplacements) {
+      return distance;
+    }
+  }
+  const bool is_local_fetcher =
+      SelectFetcher(chunk, in_region(self.region)) == self.address;
+  return kReplacements + (is_local_fetcher ? 1 : 2);
+}
+
+std::vector<staging_source> ManifestSources(
+    const staging_peer& self,
+    const std::vector<staging_peer>& peers,
+    const region_id& origin_region) {
+  constexpr std::size_t kReaders = 2;
+  const std::vector<staging_peer> all = WithSelf(peers, self);
+  const auto readers_of = [&](const region_id& region) {
+    std::vector<staging_peer> group = Select(
+        all, [&](const staging_peer& peer) { return peer.region == region; });
+    std::vector<std::string> readers =
+        Order("manifest", group.empty() ? all : group);
+    readers.resize(std::min(readers.size(), kReaders));
+    return readers;
+  };
+  const staging_source origin{source_kind::kOrigin, "", true};
+  const std::vector<std::string> origin_readers = readers_of(origin_region);
+  const std::vector<std::string> local_readers = readers_of(self.region);
+  const auto contains_self = [&](const std::vector<std::string>& readers) {
+    return std::find(readers.begin(), readers.end(), self.address) !=
+           readers.end();
+  };
+  std::vector<staging_source> sources;
+  if (contains_self(origin_readers)) {
+    sources.push_back(origin);
+  }
+  if (!contains_self(local_readers)) {
+    Append(local_readers, self.address, true, sources);
+  }
+  Append(origin_readers, self.address, true, sources);
+  if (!contains_self(origin_readers)) {
+    sources.push_back(origin);
+  }
+  return sources;
+}
+
 std::vector<std::size_t> FetchOrder(std::size_t chunks,
                                     const staging_peer& self,
                                     const std::vector<staging_peer>& peers) {
--- a/src/staging/weight_stager.cc
+++ b/src/staging/weight_stager.cc
@@ -23,11 +23,11 @@
   const auto consider = [&](time_point moment) {
     earliest = earliest ? std::min(*earliest, moment) : moment;
   };
-  if (active_fetches_ < fetch_window_) {
-    for (const chunk_state& chunk : chunks_) {
-      if (chunk.phase == chunk_phase::kMissing) {
-        consider(chunk.not_before);
-      }
+  for (std::size_t index = 0; index < chunks_.size(); ++index) {
+    // A chunk that is due waits for the end of another transfer.
+    if (chunks_[index].phase == chunk_phase::kMissing &&
+        chunks_[index].not_before > now_) {
+      consider(chunks_[index].not_before);
     }
   }
   const bool idle = load_phase_ == load_phase::kNone && AllStaged() &&
@@ -73,6 +73,22 @@
   load_accepted_ = false;
   last_progress_ = now_;
   PlanSources();
+  ScheduleOriginFetches();
+}
+
+void weight_stager::ScheduleOriginFetches() {
+  for (std::size_t chunk = 0; chunk < chunks_.size(); ++chunk) {
+    if (sources_[chunk].front().kind == source_kind::kOrigin) {
+      chunks_[chunk].not_before = OriginSlot(chunk);
+    }
+  }
+}
+
+time_point weight_stager::OriginSlot(std::size_t chunk) const {
+  const std::size_t position =
+      std::max(chunk, policy_.origin_pipeline) - policy_.origin_pipeline;
+  return assigned_at_ +
+         target_.origin_chunk_time * static_cast<duration::rep>(position);
 }
 
 void weight_stager::On(const peers_changed& event) {
@@ -195,21 +211,25 @@
 
 void weight_stager::StartFetches() {
   for (const std::size_t index : fetch_order_) {
-    if (active_fetches_ >= fetch_window_) {
-      return;
-    }
     const chunk_state& chunk = chunks_[index];
     if (chunk.phase != chunk_phase::kMissing || chunk.not_before > now_) {
       continue;
     }
     const staging_source& source = SourceOf(index);
-    if (source.kind != source_kind::kOrigin ||
-        active_origin_fetches_ < policy_.max_origin_fetches) {
+    if (HasCapacityFor(source)) {
       StartFetch(index, source);
     }
   }
 }
 
+bool weight_stager::HasCapacityFor(const staging_source& source) const {
+  // Transfers from the origin are limited apart: all others may be waiting for
+  // peers that in turn wait for this agent.
+  return source.kind == source_kind::kOrigin
+             ? active_origin_fetches_ < policy_.max_origin_fetches
+             : active_fetches_ - active_origin_fetches_ < fetch_window_;
+}
+
 void weight_stager::StartFetch(std::size_t chunk,
                                const staging_source& source) {
   chunks_[chunk].phase = chunk_phase::kFetching;
@@ -281,8 +301,10 @@
 
 void weight_stager::PlanSources() {
   sources_.clear();
+  origin_ranks_.clear();
   for (std::size_t chunk = 0; chunk < chunks_.size(); ++chunk) {
     sources_.push_back(ChunkSources(chunk, self_, peers_, origin_region_));
+    origin_ranks_.push_back(OriginRank(chunk, self_, peers_, origin_region_));
   }
   fetch_order_ = FetchOrder(chunks_.size(), self_, peers_);
 }
@@ -295,7 +317,13 @@
     return local_replica;
   }
   const std::vector<staging_source>& sources = sources_[chunk];
-  return sources[state.source % sources.size()];
+  const staging_source& source = sources[state.source % sources.size()];
+  const duration patience = policy_.origin_patience *
+                            static_cast<duration::rep>(origin_ranks_[chunk]);
+  return source.kind == source_kind::kOrigin &&
+                 now_ < OriginSlot(chunk) + patience
+             ? sources.front()
+             : source;
 }
 
 }  // namespace fireflyslip
--- a/tests/staging/chunk_sources_test.cc
+++ b/tests/staging/chunk_sources_test.cc
@@ -124,5 +124,69 @@
   }
 }
 
+// Guards against agents that all turn to the origin while its chunks are still
+// arriving at the assigned ones.
+TEST_F(chunk_sources_test, OriginRank_EachOfFirstThree_OneAgentOfOriginRegion) {
+  for (std::size_t chunk = 0; chunk < 48; ++chunk) {
+    std::map<std::size_t, int> agents;
+    for (const staging_peer& self : peers_) {
+      const std::size_t rank = OriginRank(chunk, self, peers_, region_id("a"));
+      ++agents[rank];
+      EXPECT_EQ(rank == 0,
+                Sources(chunk, self).front().kind == source_kind::kOrigin);
+      if (rank < 3) {
+        EXPECT_EQ(self.region, region_id("a"));
+      }
+    }
+    for (std::size_t rank = 0; rank < 3; ++rank) {
+      EXPECT_EQ(agents[rank], 1);
+    }
+    EXPECT_EQ(agents[3], 2) << "the fetchers of the two other regions";
+  }
+}
+
+// Guards against a chunk that nobody fetches when the origin's region is lost.
+TEST_F(chunk_sources_test, OriginRank_OriginRegionLost_OneAgentAssigned) {
+  std::erase_if(peers_, [](const staging_peer& peer) {
+    return peer.region == region_id("a");
+  });
+  for (std::size_t chunk = 0; chunk < 48; ++chunk) {
+    EXPECT_EQ(std::count_if(peers_.begin(), peers_.end(),
+                            [&](const staging_peer& self) {
+                              return OriginRank(chunk, self, peers_,
+                                                region_id("a")) == 0;
+                            }),
+              1);
+  }
+}
+
+// Guards against manifests that take the link of the origin: in a fleet of 334
+// agents they were half as many bytes as the weights.
+TEST_F(chunk_sources_test, ManifestSources_AllAgents_TwoReadTheOriginFirst) {
+  int readers = 0;
+  for (const staging_peer& self : peers_) {
+    const std::vector<staging_source> sources =
+        ManifestSources(self, peers_, region_id("a"));
+    const auto origin = std::find_if(
+        sources.begin(), sources.end(), [](const staging_source& source) {
+          return source.kind == source_kind::kOrigin;
+        });
+    ASSERT_NE(origin, sources.end());
+    readers += origin == sources.begin() ? 1 : 0;
+    for (const staging_source& source : sources) {
+      EXPECT_NE(source.address, self.address);
+    }
+    const auto first = std::find_if(
+        peers_.begin(), peers_.end(), [&](const staging_peer& peer) {
+          return peer.address == sources.front().address;
+        });
+    if (self.region != region_id("a") && first != peers_.end()) {
+      EXPECT_TRUE(first->region == self.region ||
+                  first->region == region_id("a"));
+    }
+  }
+  EXPECT_EQ(readers, 2);
+}
+
 }  // namespace
 }  // namespace fireflyslip
