--- a/include/fireflyslip/catalog.h
+++ b/include/fireflyslip/catalog.h
@@ -2,11 +2,13 @@
 #define FIREFLYSLIP_CATALOG_H_
 
 /// \brief Module catalog: a gateway's view of routes, workspaces, upstreams and
-/// published model versions, and the age of that view.
+/// published model versions, the age of that view and where it comes from.
 
 #include "fireflyslip/catalog/deployment.h"
+#include "fireflyslip/catalog/relay_selector.h"
 #include "fireflyslip/catalog/route_table.h"
 #include "fireflyslip/catalog/upstream_entry.h"
+#include "fireflyslip/catalog/upstream_history.h"
 #include "fireflyslip/catalog/upstream_registry.h"
 #include "fireflyslip/catalog/version_targets.h"
 #include "fireflyslip/catalog/watch_freshness.h"
--- a/include/fireflyslip/catalog/upstream_registry.h
+++ b/include/fireflyslip/catalog/upstream_registry.h
@@ -48,6 +48,9 @@
     /// Time since calls began to fail; zero if none has failed. A watch without
     /// events does not count as a failure.
     duration unreachable_for = {};
+    /// Time since the first response after that; positive if a relay passes it
+    /// on later.
+    duration recovered_for = {};
 
     bool operator==(const platform_responded&) const = default;
   };
--- a/src/catalog/upstream_registry.cc
+++ b/src/catalog/upstream_registry.cc
@@ -1,5 +1,6 @@
 #include "fireflyslip/catalog/upstream_registry.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "fireflyslip/core/result.h"
@@ -21,7 +22,9 @@
                  },
                  [&](const platform_responded& response) {
                    if (response.unreachable_for > outage_threshold_) {
-                     grace_until_ = now + grace_period_;
+                     grace_until_ =
+                         std::max(grace_until_,
+                                  now + grace_period_ - response.recovered_for);
                    }
                  },
                  [&](const listed& list) {
--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -2,6 +2,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "platform/catalog_codec.h"
@@ -10,6 +13,8 @@
 namespace fireflyslip {
 namespace {
 
+using boost::asio::awaitable;
+
 /// Store outage after which upstream objects may have expired: less than the
 /// three heartbeats after which the store removes a silent upstream.
 constexpr milliseconds kExpiryOutage{1000};
@@ -26,6 +31,20 @@
 /// Changes of upstreams arrive in bursts; a draining upstream must receive no
 /// new requests after two seconds.
 constexpr milliseconds kUpstreamBatchDelay{300};
+/// Longest delay after a failed watch. Relays try more often, and report the
+/// end of an outage.
+constexpr milliseconds kMaxWatchBackoff{1500};
+/// Delay between two reads of the configuration, so that one read returns
+/// several successive versions; well below the time in which a version must be
+/// in force.
+constexpr milliseconds kConfigurationReadInterval{700};
+/// Replicas register about a second after all processes have started. A list
+/// that may be old is cheap.
+constexpr int kMaxRelaySearches = 8;
+constexpr milliseconds kRelaySearchInterval{800};
+constexpr milliseconds kRelaySearchTimeout{900};
+constexpr milliseconds kInitialReadBackoff{50};
+constexpr milliseconds kMaxReadBackoff{600};
 
 }  // namespace
 
@@ -34,37 +53,173 @@
                            handlers callbacks,
                            std::uint64_t seed)
     : context_(context),
+      data_centre_(settings.data_centre),
+      store_(context, settings.platform),
       handlers_(std::move(callbacks)),
+      random_(seed),
       timers_(context),
       registry_(upstream_registry(kExpiryOutage, kRegistrationGrace),
                 timers_,
                 [this](const upstream_registry::action& action) {
-                  handlers_.on_upstreams(
-                      std::get<upstream_registry::publish>(action).upstreams);
+                  upstreams_ =
+                      std::get<upstream_registry::publish>(action).upstreams;
+                  handlers_.on_upstreams(upstreams_);
+                  relay_.SetRelays(SelectRelays(*upstreams_, data_centre_));
                 }),
-      configuration_watch_(
-          context,
-          settings.platform,
-          {platform::kConfigurationKind, kConfigurationWatch, duration(0)},
-          ConfigurationHandlers(),
-          seed + 1),
-      upstream_watch_(
-          context,
-          settings.platform,
-          {platform::kUpstreamKind, kUpstreamWatch, kUpstreamBatchDelay},
-          UpstreamHandlers(),
-          seed + 2),
+      configuration_watch_(context,
+                           settings.platform,
+                           {platform::kConfigurationKind, kConfigurationWatch,
+                            duration(0), kMaxWatchBackoff},
+                           ConfigurationHandlers(),
+                           seed + 1),
+      upstream_watch_(context,
+                      settings.platform,
+                      {platform::kUpstreamKind, kUpstreamWatch,
+                       kUpstreamBatchDelay, kMaxWatchBackoff},
+                      UpstreamHandlers(),
+                      seed + 2),
       version_watch_(context,
                      settings.platform,
-                     {platform::kVersionKind, kVersionWatch, duration(0)},
+                     {platform::kVersionKind, kVersionWatch, duration(0),
+                      kMaxWatchBackoff},
                      VersionHandlers(),
-                     seed + 3) {}
+                     seed + 3),
+      relay_(context, settings.RelayPort(), {}, RelayHandlers(), seed + 4) {
+  known_revisions_ = {0, 0, 0, {}};
+}
 
 void catalog_feed::Start() {
   boost::asio::co_spawn(context_, configuration_watch_.Run(),
                         boost::asio::detached);
   boost::asio::co_spawn(context_, upstream_watch_.Run(), boost::asio::detached);
   boost::asio::co_spawn(context_, version_watch_.Run(), boost::asio::detached);
+  boost::asio::co_spawn(context_, FindRelays(), boost::asio::detached);
+}
+
+awaitable<void> catalog_feed::FindRelays() {
+  const std::string kind = platform::kUpstreamKind;
+  std::vector<std::string> relays;
+  for (int i = 0; i < kMaxRelaySearches && relays.empty(); ++i) {
+    const auto listed = co_await store_.List(kind, true, kRelaySearchTimeout);
+    upstream_map upstreams;
+    if (IsOk(listed)) {
+      for (const platform::store_object& object : ValueOf(listed).objects) {
+        auto entry = platform::DecodeUpstream(object.name, object.content);
+        if (entry) {
+          upstreams.emplace(entry->id, *std::move(entry));
+        }
+      }
+    }
+    relays = SelectRelays(upstreams, data_centre_);
+    if (relays.empty()) {
+      co_await Sleep(FromSeconds(ToSeconds(kRelaySearchInterval) *
+                                 (1 + random_.Fraction()) / 2));
+    }
+  }
+  if (!upstreams_listed_) {
+    relay_.SetRelays(std::move(relays));
+  }
+}
+
+awaitable<void> catalog_feed::ReadConfiguration() {
+  reading_configuration_ = true;
+  duration backoff = kInitialReadBackoff;
+  while (!deployment_ || deployment_->version < announced_configuration_) {
+    const bool read = co_await ReadConfigurationOnce();
+    if (read) {
+      backoff = kInitialReadBackoff;
+      co_await Sleep(kConfigurationReadInterval);
+    } else {
+      co_await Sleep(FromSeconds(ToSeconds(backoff) * random_.Fraction()));
+      backoff = std::min<duration>(backoff * 2, kMaxReadBackoff);
+    }
+  }
+  reading_configuration_ = false;
+}
+
+awaitable<bool> catalog_feed::ReadConfigurationOnce() {
+  const auto content = co_await relay_.ReadConfiguration();
+  if (IsOk(content)) {
+    ApplyConfiguration(ValueOf(content));
+    if (deployment_ && deployment_->version >= announced_configuration_) {
+      co_return true;
+    }
+  }
+  const bool listed = co_await configuration_watch_.Refresh();
+  co_return listed;
+}
+
+awaitable<void> catalog_feed::Sleep(duration length) {
+  boost::asio::steady_timer timer(context_, length);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
+void catalog_feed::SetFollowingStore(bool following) {
+  if (following) {
+    configuration_watch_.AdvanceRevision(*known_revisions_.configuration);
+    upstream_watch_.AdvanceRevision(*known_revisions_.upstreams);
+    version_watch_.AdvanceRevision(*known_revisions_.versions);
+  }
+  configuration_watch_.SetFollowing(following);
+  upstream_watch_.SetFollowing(following);
+  version_watch_.SetFollowing(following);
+}
+
+relay_client::handlers catalog_feed::RelayHandlers() {
+  relay_client::handlers callbacks;
+  callbacks.query = [this] { return known_revisions_; };
+  callbacks.on_answer = [this](const relay_answer& answer,
+                               time_point query_sent) {
+    OnRelayAnswer(answer, query_sent);
+  };
+  callbacks.on_watch_store = [this](bool watch) { SetFollowingStore(watch); };
+  return callbacks;
+}
+
+void catalog_feed::OnRelayAnswer(const relay_answer& answer,
+                                 time_point query_sent) {
+  if (!answer.configuration || !answer.upstreams || !answer.versions) {
+    return;
+  }
+  // A relay may know less than this process, which has followed another one.
+  if (answer.upstreams->revision >= *known_revisions_.upstreams) {
+    known_revisions_.upstreams = answer.upstreams->revision;
+    const relayed_outage outage = answer.outage.value_or(relayed_outage{});
+    upstreams_listed_ = true;
+    HandleUpstreams(
+        upstream_registry::platform_responded{outage.length, outage.ended_for});
+    if (answer.upstreams->complete) {
+      upstream_registry::listed list;
+      for (const upstream_change& change : answer.upstreams->changes) {
+        if (change.entry) {
+          list.entries.push_back(*change.entry);
+        }
+      }
+      HandleUpstreams(std::move(list));
+    } else {
+      for (const upstream_change& change : answer.upstreams->changes) {
+        ApplyUpstream(change, false);
+      }
+    }
+  }
+  known_revisions_.versions =
+      std::max(*known_revisions_.versions, answer.versions->revision);
+  for (const auto& [model, version] : answer.versions->versions) {
+    SetTargetVersion(model, version, !versions_listed_);
+  }
+  versions_listed_ = true;
+
+  known_revisions_.configuration =
+      std::max(*known_revisions_.configuration, answer.configuration->revision);
+  announced_configuration_ =
+      std::max(announced_configuration_, answer.configuration->version);
+  if (deployment_ && deployment_->version >= announced_configuration_) {
+    ConfirmKeys(query_sent + answer.held - answer.configuration->age);
+  } else if (!reading_configuration_) {
+    boost::asio::co_spawn(context_, ReadConfiguration(), boost::asio::detached);
+  }
 }
 
 kind_watch::handlers catalog_feed::ConfigurationHandlers() {
@@ -72,21 +227,30 @@
   callbacks.on_response = [](duration) {};
   callbacks.on_list = [this](const platform::store_listing& listing) {
     for (const platform::store_object& object : listing.objects) {
-      ApplyConfiguration(object);
+      ApplyConfigurationObject(object);
     }
   };
   callbacks.on_change = [this](const platform::store_change& change) {
     if (!change.removed) {
-      ApplyConfiguration(change.object);
+      ApplyConfigurationObject(change.object);
     }
   };
-  callbacks.on_confirmed = [this](const watch_freshness& freshness) {
-    keys_current_as_of_ = freshness.current_as_of();
-    handlers_.on_keys_confirmed(*keys_current_as_of_);
+  callbacks.on_confirmed = [this](const watch_freshness& freshness,
+                                  std::uint64_t revision) {
+    known_revisions_.configuration =
+        std::max(*known_revisions_.configuration, revision);
+    ConfirmKeys(*freshness.current_as_of());
   };
   return callbacks;
 }
 
+void catalog_feed::ConfirmKeys(time_point current_as_of) {
+  if (!keys_current_as_of_ || current_as_of > *keys_current_as_of_) {
+    keys_current_as_of_ = current_as_of;
+    handlers_.on_keys_confirmed(current_as_of);
+  }
+}
+
 kind_watch::handlers catalog_feed::UpstreamHandlers() {
   kind_watch::handlers callbacks;
   callbacks.on_response = [this](duration outage) {
@@ -106,26 +270,37 @@
     HandleUpstreams(std::move(list));
   };
   callbacks.on_change = [this](const platform::store_change& change) {
-    const upstream_id id(change.object.name);
-    auto entry = change.removed
-                     ? std::nullopt
-                     : platform::DecodeUpstream(change.object.name,
-                                                change.object.content);
-    if (!entry) {
-      LogLine("event=upstream_removed upstream=" + id.value() +
-              (change.removed ? " reason=left" : " reason=unreadable"));
-      HandleUpstreams(upstream_registry::removed{id});
-      return;
+    upstream_change decoded{upstream_id(change.object.name), std::nullopt};
+    if (!change.removed) {
+      decoded.entry =
+          platform::DecodeUpstream(change.object.name, change.object.content);
     }
-    LogLine("event=upstream_changed upstream=" + id.value() + " address=" +
-            entry->address + " draining=" + (entry->draining ? "1" : "0") +
-            " started_ms=" + std::to_string(entry->started_ms));
-    HandleUpstreams(upstream_registry::changed{*std::move(entry)});
+    ApplyUpstream(decoded, !change.removed && !decoded.entry);
+  };
+  callbacks.on_confirmed = [this](const watch_freshness&,
+                                  std::uint64_t revision) {
+    known_revisions_.upstreams =
+        std::max(*known_revisions_.upstreams, revision);
   };
-  callbacks.on_confirmed = [](const watch_freshness&) {};
   return callbacks;
 }
 
+void catalog_feed::ApplyUpstream(const upstream_change& change,
+                                 bool unreadable) {
+  const std::string& id = change.id.value();
+  if (!change.entry) {
+    LogLine("event=upstream_removed upstream=" + id +
+            (unreadable ? " reason=unreadable" : " reason=left"));
+    HandleUpstreams(upstream_registry::removed{change.id});
+    return;
+  }
+  LogLine("event=upstream_changed upstream=" + id +
+          " address=" + change.entry->address +
+          " draining=" + (change.entry->draining ? "1" : "0") +
+          " started_ms=" + std::to_string(change.entry->started_ms));
+  HandleUpstreams(upstream_registry::changed{*change.entry});
+}
+
 kind_watch::handlers catalog_feed::VersionHandlers() {
   kind_watch::handlers callbacks;
   callbacks.on_response = [](duration) {};
@@ -140,15 +315,22 @@
       ApplyTargetVersion(change.object, false);
     }
   };
-  callbacks.on_confirmed = [](const watch_freshness&) {};
+  callbacks.on_confirmed = [this](const watch_freshness&,
+                                  std::uint64_t revision) {
+    known_revisions_.versions = std::max(*known_revisions_.versions, revision);
+  };
   return callbacks;
 }
 
-void catalog_feed::ApplyConfiguration(const platform::store_object& object) {
-  if (object.name != platform::kConfigurationName) {
-    return;
+void catalog_feed::ApplyConfigurationObject(
+    const platform::store_object& object) {
+  if (object.name == platform::kConfigurationName) {
+    ApplyConfiguration(object.content);
   }
-  result<deployment> decoded = platform::DecodeDeployment(object.content);
+}
+
+void catalog_feed::ApplyConfiguration(const nlohmann::json& content) {
+  result<deployment> decoded = platform::DecodeDeployment(content);
   if (!IsOk(decoded)) {
     LogLine("event=configuration_rejected reason=\"" + ErrorOf(decoded).detail +
             "\"");
@@ -173,10 +355,20 @@
     LogLine("event=version_unreadable name=" + object.name);
     return;
   }
-  LogLine("event=version_named model=" + target->model.value() +
-          " version=" + std::to_string(target->version) +
-          " at_start=" + (at_start ? "1" : "0"));
-  handlers_.on_target_version(target->model, target->version, at_start);
+  SetTargetVersion(target->model, target->version, at_start);
+}
+
+void catalog_feed::SetTargetVersion(const model_name& model,
+                                    std::uint64_t version,
+                                    bool at_start) {
+  std::uint64_t& known = target_versions_[model];
+  if (version <= known) {
+    return;
+  }
+  known = version;
+  LogLine("event=version_named model=" + model.value() + " version=" +
+          std::to_string(version) + " at_start=" + (at_start ? "1" : "0"));
+  handlers_.on_target_version(model, version, at_start);
 }
 
 void catalog_feed::HandleUpstreams(const upstream_registry::event& event) {
--- a/src/gateway/catalog_feed.h
+++ b/src/gateway/catalog_feed.h
@@ -1,6 +1,7 @@
 #ifndef FIREFLYSLIP_GATEWAY_CATALOG_FEED_H_
 #define FIREFLYSLIP_GATEWAY_CATALOG_FEED_H_
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
@@ -11,11 +12,15 @@
 #include "fireflyslip/runtime.h"
 #include "node/kind_watch.h"
 #include "node/node_settings.h"
+#include "node/relay_client.h"
 
 namespace fireflyslip {
 
-/// \brief Control plane of a gateway: watches configuration, upstreams and
-/// target versions in the platform's store and reports changes.
+/// \brief Control plane of a gateway: learns configuration, upstreams and
+/// target versions and reports changes.
+///
+/// Finds the catalog relays of its data centre in the platform's store, then
+/// follows one of them, or the store while none has a current view.
 class catalog_feed {
  public:
   struct handlers {
@@ -44,21 +49,46 @@
   }
 
  private:
+  relay_client::handlers RelayHandlers();
   kind_watch::handlers ConfigurationHandlers();
   kind_watch::handlers UpstreamHandlers();
   kind_watch::handlers VersionHandlers();
-  void ApplyConfiguration(const platform::store_object& object);
+  /// \brief Looks for relays in a list of upstreams that may be seconds old.
+  boost::asio::awaitable<void> FindRelays();
+  /// \brief Reads the configuration until it has at least the announced
+  /// version.
+  boost::asio::awaitable<void> ReadConfiguration();
+  boost::asio::awaitable<bool> ReadConfigurationOnce();
+  boost::asio::awaitable<void> Sleep(duration length);
+  void SetFollowingStore(bool following);
+  void OnRelayAnswer(const relay_answer& answer, time_point query_sent);
+  void ApplyConfigurationObject(const platform::store_object& object);
+  void ApplyConfiguration(const nlohmann::json& content);
+  void ApplyUpstream(const upstream_change& change, bool unreadable);
   void ApplyTargetVersion(const platform::store_object& object, bool at_start);
+  void ConfirmKeys(time_point current_as_of);
+  void SetTargetVersion(const model_name& model,
+                        std::uint64_t version,
+                        bool at_start);
   void HandleUpstreams(const upstream_registry::event& event);
 
   boost::asio::io_context& context_;
+  data_centre_id data_centre_;
+  platform::store_client store_;
   handlers handlers_;
+  random_source random_;
   timer_service timers_;
   core_driver<upstream_registry> registry_;
   kind_watch configuration_watch_;
   kind_watch upstream_watch_;
   kind_watch version_watch_;
+  relay_client relay_;
   std::shared_ptr<const deployment> deployment_;
+  std::shared_ptr<const upstream_map> upstreams_;
+  relay_query known_revisions_;
+  std::uint64_t announced_configuration_ = 0;  // newest version of a relay
+  bool reading_configuration_ = false;
+  std::map<model_name, std::uint64_t> target_versions_;
   bool upstreams_listed_ = false;
   bool versions_listed_ = false;
   std::set<upstream_id> malformed_upstreams_;  // already logged
--- /dev/null
+++ b/src/node/catalog_relay.cc
@@ -0,0 +1,334 @@
+#include "node/catalog_relay.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "node/compression.h"
+#include "node/relay_client.h"
+#include "platform/catalog_codec.h"
+#include "platform/json_access.h"
+#include "platform/wire_names.h"
+
+namespace fireflyslip {
+namespace {
+
+using boost::asio::awaitable;
+
+constexpr int kStatusNotFound = 404;
+/// Fraction of the time in which a draining upstream must be known to all that
+/// a watch of the upstreams may last.
+constexpr double kUpstreamWatchFraction = 0.4;
+/// The age of the configuration is at most two watches, because a watch that
+/// returns a change proves only that the state was current when it was sent.
+/// With the hold time of a poll it must be below the key revocation timeout.
+constexpr double kConfigurationWatchFraction = 0.34;
+/// Versions are published rarely, and loading one takes seconds.
+constexpr seconds kVersionWatch{5};
+/// The same for the delay between two watches; changes of upstreams arrive in
+/// bursts.
+constexpr double kUpstreamBatchFraction = 0.15;
+/// Time that a response of the store may take; a slow store takes up to 0.3 s.
+constexpr milliseconds kResponseTime{400};
+/// The store is watched for this long after a poll.
+constexpr seconds kIdleTimeout{5};
+constexpr seconds kIdleCheckInterval{1};
+/// Time for which the end of an outage is reported: polls arrive more often,
+/// and entries that expired meanwhile are back within two seconds.
+constexpr seconds kOutageReportTime{2};
+
+duration Scale(duration value, double factor) {
+  return FromSeconds(ToSeconds(value) * factor);
+}
+
+}  // namespace
+
+catalog_relay::watch_durations::watch_durations(const node_settings& settings)
+    : configuration(
+          Scale(settings.key_revocation_timeout, kConfigurationWatchFraction)),
+      upstreams(Scale(settings.upstream_drain_timeout, kUpstreamWatchFraction)),
+      upstream_batch(
+          Scale(settings.upstream_drain_timeout, kUpstreamBatchFraction)),
+      versions(kVersionWatch) {}
+
+catalog_relay::catalog_relay(boost::asio::io_context& context,
+                             const node_settings& settings,
+                             std::uint64_t seed)
+    : context_(context),
+      durations_(settings),
+      data_centre_(settings.data_centre),
+      timers_(context),
+      server_(context,
+              {},
+              [this](http_request request, response_writer& writer) {
+                return Serve(std::move(request), writer);
+              }),
+      configuration_watch_(
+          context,
+          settings.platform,
+          {platform::kConfigurationKind, durations_.configuration, duration(0)},
+          ConfigurationHandlers(),
+          seed + 1),
+      upstream_watch_(context,
+                      settings.platform,
+                      {platform::kUpstreamKind, durations_.upstreams,
+                       durations_.upstream_batch},
+                      UpstreamHandlers(),
+                      seed + 2),
+      version_watch_(context,
+                     settings.platform,
+                     {platform::kVersionKind, durations_.versions, duration(0)},
+                     VersionHandlers(),
+                     seed + 3) {
+  timers_.SubscribePeriodic(kIdleCheckInterval, [this] { StopIfIdle(); });
+}
+
+result<unsigned short> catalog_relay::Listen(const http_endpoint& endpoint) {
+  for (kind_watch* watch :
+       {&configuration_watch_, &upstream_watch_, &version_watch_}) {
+    boost::asio::co_spawn(context_, watch->Run(), boost::asio::detached);
+  }
+  return server_.Listen(endpoint);
+}
+
+kind_watch::handlers catalog_relay::ConfigurationHandlers() {
+  kind_watch::handlers callbacks;
+  callbacks.on_response = [](duration) {};
+  callbacks.on_list = [this](const platform::store_listing& listing) {
+    for (const platform::store_object& object : listing.objects) {
+      SetConfiguration(object);
+    }
+  };
+  callbacks.on_change = [this](const platform::store_change& change) {
+    if (!change.removed) {
+      SetConfiguration(change.object);
+    }
+  };
+  callbacks.on_confirmed = [this](const watch_freshness& freshness,
+                                  std::uint64_t revision) {
+    configuration_freshness_ = freshness;
+    configuration_confirmed_ = MonotonicNow();
+    if (configuration_revision_ == 0 && configuration_version_ > 0) {
+      configuration_revision_ = revision;
+    }
+    WakeWaiters();
+  };
+  return callbacks;
+}
+
+void catalog_relay::SetConfiguration(const platform::store_object& object) {
+  const auto version = platform::FindUnsigned(object.content, "version");
+  if (object.name == platform::kConfigurationName && version &&
+      *version > configuration_version_) {
+    configuration_version_ = *version;
+    configuration_content_ = Compress(object.content.dump());
+    configuration_revision_ = 0;  // set when the response is complete
+  }
+}
+
+kind_watch::handlers catalog_relay::UpstreamHandlers() {
+  kind_watch::handlers callbacks;
+  callbacks.on_response = [this](duration outage) {
+    if (outage.count() > 0) {
+      outage_ = outage;
+      outage_ended_ = MonotonicNow();
+    }
+  };
+  callbacks.on_list = [this](const platform::store_listing& listing) {
+    pending_changes_.clear();
+    pending_list_.emplace();
+    for (const platform::store_object& object : listing.objects) {
+      auto entry = platform::DecodeUpstream(object.name, object.content);
+      if (entry) {
+        pending_list_->push_back(*std::move(entry));
+      }
+    }
+  };
+  callbacks.on_change = [this](const platform::store_change& change) {
+    pending_changes_.push_back(
+        {upstream_id(change.object.name),
+         change.removed ? std::nullopt
+                        : platform::DecodeUpstream(change.object.name,
+                                                   change.object.content)});
+  };
+  callbacks.on_confirmed = [this](const watch_freshness&,
+                                  std::uint64_t revision) {
+    if (pending_list_) {
+      upstreams_.Replace(*pending_list_, revision);
+      pending_list_.reset();
+    }
+    upstreams_.Apply(pending_changes_, revision);
+    pending_changes_.clear();
+    relays_ = SelectRelays(upstreams_.Present(), data_centre_);
+    upstreams_confirmed_ = MonotonicNow();
+    WakeWaiters();
+  };
+  return callbacks;
+}
+
+kind_watch::handlers catalog_relay::VersionHandlers() {
+  kind_watch::handlers callbacks;
+  callbacks.on_response = [](duration) {};
+  callbacks.on_list = [this](const platform::store_listing& listing) {
+    for (const platform::store_object& object : listing.objects) {
+      SetVersion(object);
+    }
+  };
+  callbacks.on_change = [this](const platform::store_change& change) {
+    if (!change.removed) {
+      SetVersion(change.object);
+    }
+  };
+  callbacks.on_confirmed = [this](const watch_freshness&,
+                                  std::uint64_t revision) {
+    versions_confirmed_ = MonotonicNow();
+    if (versions_revision_ == 0) {
+      versions_revision_ = revision;
+    }
+    WakeWaiters();
+  };
+  return callbacks;
+}
+
+void catalog_relay::SetVersion(const platform::store_object& object) {
+  const auto target = platform::DecodeTargetVersion(object.content);
+  if (target && target->version > versions_[target->model]) {
+    versions_[target->model] = target->version;
+    versions_revision_ = 0;  // set when the response is complete
+  }
+}
+
+awaitable<void> catalog_relay::Serve(http_request request,
+                                     response_writer& writer) {
+  if (request.path() == kConfigurationPath) {
+    co_await ServeConfiguration(writer);
+    co_return;
+  }
+  const time_point received = MonotonicNow();
+  const std::optional<relay_query> query = ParseRelayTarget(request.target);
+  http_response response;
+  if (!query) {
+    response.status = kStatusNotFound;
+    co_await writer.Send(std::move(response));
+    co_return;
+  }
+  Activate();
+  co_await WaitForNews(*query, received + query->hold);
+  response.body = EncodeRelayAnswer(Answer(*query, received));
+  co_await writer.Send(std::move(response));
+}
+
+awaitable<void> catalog_relay::ServeConfiguration(response_writer& writer) {
+  http_response response;
+  if (configuration_content_.empty()) {
+    response.status = kStatusNotFound;
+  } else {
+    response.body = configuration_content_;
+  }
+  co_await writer.Send(std::move(response));
+}
+
+awaitable<void> catalog_relay::WaitForNews(const relay_query& query,
+                                           time_point deadline) {
+  const bool was_fresh = FreshUntil(MonotonicNow()).has_value();
+  for (;;) {
+    const time_point now = MonotonicNow();
+    const std::optional<time_point> fresh_until = FreshUntil(now);
+    // A poll that arrives while the view is stale is held until it is current;
+    // one that is held is answered when the view becomes stale.
+    if (now >= deadline || (fresh_until && HasNews(query)) ||
+        fresh_until.has_value() != was_fresh) {
+      co_return;
+    }
+    boost::asio::steady_timer timer(
+        context_, std::min(deadline, fresh_until.value_or(deadline)) - now);
+    waiters_.insert(&timer);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    waiters_.erase(&timer);
+  }
+}
+
+void catalog_relay::Activate() {
+  active_until_ = MonotonicNow() + kIdleTimeout;
+  if (!active_) {
+    active_ = true;
+    LogLine("event=relay_started");
+    configuration_watch_.SetFollowing(true);
+    upstream_watch_.SetFollowing(true);
+    version_watch_.SetFollowing(true);
+  }
+}
+
+void catalog_relay::StopIfIdle() {
+  if (active_ && MonotonicNow() > active_until_) {
+    active_ = false;
+    LogLine("event=relay_stopped reason=idle");
+    configuration_watch_.SetFollowing(false);
+    upstream_watch_.SetFollowing(false);
+    version_watch_.SetFollowing(false);
+  }
+}
+
+void catalog_relay::WakeWaiters() {
+  for (boost::asio::steady_timer* waiter : waiters_) {
+    waiter->cancel();
+  }
+}
+
+bool catalog_relay::HasNews(const relay_query& query) const {
+  return (query.configuration &&
+          configuration_revision_ > *query.configuration) ||
+         (query.upstreams && upstreams_.HasNews(*query.upstreams)) ||
+         (query.versions && versions_revision_ > *query.versions);
+}
+
+std::optional<time_point> catalog_relay::FreshUntil(time_point now) const {
+  if (!configuration_confirmed_ || !upstreams_confirmed_ ||
+      !versions_confirmed_ || configuration_revision_ == 0 ||
+      versions_revision_ == 0) {
+    return std::nullopt;
+  }
+  const time_point until =
+      kResponseTime +
+      std::min({*configuration_confirmed_ + durations_.configuration,
+                *upstreams_confirmed_ + durations_.upstream_batch +
+                    durations_.upstreams,
+                *versions_confirmed_ + durations_.versions});
+  if (until <= now) {
+    return std::nullopt;
+  }
+  return until;
+}
+
+relay_answer catalog_relay::Answer(const relay_query& query,
+                                   time_point received) const {
+  const time_point now = MonotonicNow();
+  relay_answer answer;
+  answer.held = now - received;
+  answer.fresh = FreshUntil(now).has_value();
+  if (outage_ && now - outage_ended_ < kOutageReportTime) {
+    answer.outage = {*outage_, now - outage_ended_};
+  }
+  if (!answer.fresh) {
+    return answer;
+  }
+  if (query.configuration) {
+    answer.configuration = {configuration_revision_, configuration_version_,
+                            now - *configuration_freshness_.current_as_of()};
+  }
+  if (query.upstreams) {
+    answer.upstreams = upstreams_.Since(*query.upstreams);
+  }
+  if (query.versions) {
+    answer.versions = {versions_revision_, versions_};
+  }
+  answer.relays = relays_;
+  return answer;
+}
+
+}  // namespace fireflyslip
--- /dev/null
+++ b/src/node/catalog_relay.h
@@ -0,0 +1,101 @@
+#ifndef FIREFLYSLIP_NODE_CATALOG_RELAY_H_
+#define FIREFLYSLIP_NODE_CATALOG_RELAY_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "fireflyslip/catalog.h"
+#include "fireflyslip/http.h"
+#include "fireflyslip/runtime.h"
+#include "node/kind_watch.h"
+#include "node/node_settings.h"
+#include "node/relay_message.h"
+
+namespace fireflyslip {
+
+/// \brief Watches the platform's store on behalf of the processes that poll it.
+///
+/// The store is watched only while polls arrive. Holds a poll until a kind that
+/// it names has changed, the view is no longer current, or its hold time is
+/// over. Its view is current while responses of the store arrive within the
+/// durations of the watches. The age of the configuration, which key
+/// revocations depend on, counts from the time at which the request was sent.
+/// All times are on a clock that includes suspension of the VM, so a process
+/// that was paused does not present an old view as current.
+class catalog_relay {
+ public:
+  catalog_relay(boost::asio::io_context& context,
+                const node_settings& settings,
+                std::uint64_t seed);
+
+  /// \brief Starts serving polls; fails if the address cannot be bound.
+  result<unsigned short> Listen(const http_endpoint& endpoint);
+
+ private:
+  /// \brief Durations of the watches. A change ends a watch at once; an
+  /// unreachable store is detected at its end.
+  struct watch_durations {
+    explicit watch_durations(const node_settings& settings);
+
+    duration configuration;
+    duration upstreams;
+    duration upstream_batch;  ///< Delay between two watches.
+    duration versions;
+  };
+
+  kind_watch::handlers ConfigurationHandlers();
+  kind_watch::handlers UpstreamHandlers();
+  kind_watch::handlers VersionHandlers();
+  boost::asio::awaitable<void> Serve(http_request request,
+                                     response_writer& writer);
+  boost::asio::awaitable<void> ServeConfiguration(response_writer& writer);
+  boost::asio::awaitable<void> WaitForNews(const relay_query& query,
+                                           time_point deadline);
+  void Activate();
+  void StopIfIdle();
+  void WakeWaiters();
+  void SetVersion(const platform::store_object& object);
+  void SetConfiguration(const platform::store_object& object);
+  bool HasNews(const relay_query& query) const;
+  /// \brief Time until which the view is current; empty if it is not.
+  std::optional<time_point> FreshUntil(time_point now) const;
+  relay_answer Answer(const relay_query& query, time_point received) const;
+
+  boost::asio::io_context& context_;
+  const watch_durations durations_;
+  const data_centre_id data_centre_;
+  timer_service timers_;
+  http_server server_;
+  kind_watch configuration_watch_;
+  kind_watch upstream_watch_;
+  kind_watch version_watch_;
+  time_point active_until_;
+  bool active_ = false;
+  std::set<boost::asio::steady_timer*> waiters_;
+
+  watch_freshness configuration_freshness_;
+  std::optional<time_point> configuration_confirmed_;
+  std::uint64_t configuration_version_ = 0;
+  std::uint64_t configuration_revision_ = 0;  // of its last change
+  std::string configuration_content_;         // compressed JSON
+  std::optional<time_point> upstreams_confirmed_;
+  std::vector<upstream_change> pending_changes_;  // of a response in progress
+  std::optional<std::vector<upstream_entry>> pending_list_;
+  upstream_history upstreams_;
+  std::vector<std::string> relays_;  // of the data centre
+  std::optional<time_point> versions_confirmed_;
+  std::map<model_name, std::uint64_t> versions_;
+  std::uint64_t versions_revision_ = 0;  // of their last change
+  std::optional<duration> outage_;       // length of the last one
+  time_point outage_ended_;
+};
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_NODE_CATALOG_RELAY_H_
--- a/src/node/kind_watch.cc
+++ b/src/node/kind_watch.cc
@@ -17,10 +17,9 @@
 /// Timeout of a request in addition to its watch duration; a slow store takes
 /// up to 0.3 s.
 constexpr milliseconds kRequestTimeout{900};
-/// Backoff after failed requests. Each request incurs a cost, and all processes
-/// resume at the same time when the store recovers.
+/// First delay after failed requests. Each request incurs a cost, and all
+/// processes resume at the same time when the store recovers.
 constexpr milliseconds kInitialBackoff{50};
-constexpr milliseconds kMaxBackoff{600};
 
 }  // namespace
 
@@ -33,19 +32,40 @@
       store_(context, std::move(store)),
       settings_(std::move(options)),
       handlers_(std::move(callbacks)),
-      random_(seed) {}
+      random_(seed),
+      following_changed_(context) {}
 
 awaitable<void> kind_watch::Run() {
   for (;;) {
-    const bool listed = co_await List();
-    if (listed) {
+    if (!following_) {
+      co_await WaitUntilFollowing();
+    } else if (revision_ == 0) {
+      co_await Refresh();
+      co_await BackOff();
+    } else {
       co_await Watch();
+      co_await BackOff();
     }
-    co_await BackOff();
   }
 }
 
-awaitable<bool> kind_watch::List() {
+void kind_watch::SetFollowing(bool following) {
+  following_ = following;
+  following_changed_.cancel();
+}
+
+void kind_watch::AdvanceRevision(std::uint64_t revision) {
+  revision_ = std::max(revision_, revision);
+}
+
+awaitable<void> kind_watch::WaitUntilFollowing() {
+  following_changed_.expires_at(boost::asio::steady_timer::time_point::max());
+  boost::system::error_code ignored;
+  co_await following_changed_.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
+awaitable<bool> kind_watch::Refresh() {
   const time_point sent = MonotonicNow();
   const auto listed =
       co_await store_.List(settings_.kind, false, kRequestTimeout);
@@ -54,44 +74,41 @@
     co_return false;
   }
   RecordResponse();
-  revision_ = ValueOf(listed).revision;
   handlers_.on_list(ValueOf(listed));
+  AdvanceRevision(ValueOf(listed).revision);
   freshness_.ConfirmRead(sent);
-  handlers_.on_confirmed(freshness_);
+  handlers_.on_confirmed(freshness_, ValueOf(listed).revision);
   co_return true;
 }
 
 awaitable<void> kind_watch::Watch() {
-  for (;;) {
-    const time_point sent = MonotonicNow();
-    const auto answer = co_await store_.Watch(
-        settings_.kind, revision_, settings_.watch_duration,
-        settings_.watch_duration + kRequestTimeout);
-    if (!IsOk(answer)) {
-      RecordFailure(ErrorOf(answer), sent);
-      if (ErrorOf(answer).kind == error_kind::kNotFound) {
-        co_return;
-      }
-      co_await BackOff();
-      continue;
-    }
-    RecordResponse();
-    const platform::store_changes& changes = ValueOf(answer);
-    for (const platform::store_change& change : changes.changes) {
-      handlers_.on_change(change);
-    }
-    revision_ = std::max(revision_, changes.revision);
-    // A watch that ends early without events was terminated by the store.
-    if (changes.changes.empty() &&
-        MonotonicNow() - sent >= settings_.watch_duration) {
-      freshness_.ConfirmEmptyWatch(sent, settings_.watch_duration);
-    } else {
-      freshness_.ConfirmRead(sent);
-    }
-    handlers_.on_confirmed(freshness_);
-    if (!changes.changes.empty() && settings_.batch_delay.count() > 0) {
-      co_await Sleep(settings_.batch_delay);
+  const time_point sent = MonotonicNow();
+  const auto answer =
+      co_await store_.Watch(settings_.kind, revision_, settings_.watch_duration,
+                            settings_.watch_duration + kRequestTimeout);
+  if (!IsOk(answer)) {
+    RecordFailure(ErrorOf(answer), sent);
+    if (ErrorOf(answer).kind == error_kind::kNotFound) {
+      revision_ = 0;
     }
+    co_return;
+  }
+  RecordResponse();
+  const platform::store_changes& changes = ValueOf(answer);
+  for (const platform::store_change& change : changes.changes) {
+    handlers_.on_change(change);
+  }
+  AdvanceRevision(changes.revision);
+  // A watch that ends early without events was terminated by the store.
+  if (changes.changes.empty() &&
+      MonotonicNow() - sent >= settings_.watch_duration) {
+    freshness_.ConfirmEmptyWatch(sent, settings_.watch_duration);
+  } else {
+    freshness_.ConfirmRead(sent);
+  }
+  handlers_.on_confirmed(freshness_, changes.revision);
+  if (!changes.changes.empty() && settings_.batch_delay.count() > 0) {
+    co_await Sleep(settings_.batch_delay);
   }
 }
 
@@ -99,8 +116,10 @@
   if (failures_ == 0) {
     co_return;
   }
+  constexpr int kMaxDoublings = 8;
   const duration max_delay = std::min<duration>(
-      kMaxBackoff, kInitialBackoff * (1 << std::min(failures_ - 1, 4)));
+      settings_.max_backoff,
+      kInitialBackoff * (1 << std::min(failures_ - 1, kMaxDoublings)));
   const auto half = static_cast<std::uint64_t>(max_delay.count() / 2);
   co_await Sleep(duration(half + random_.Below(half)));
 }
--- a/src/node/kind_watch.h
+++ b/src/node/kind_watch.h
@@ -3,6 +3,8 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -16,9 +18,10 @@
 
 /// \brief Watches all objects of one kind in the platform's store.
 ///
-/// Lists the kind, then watches for changes; lists again if the store has
-/// compacted the revision. Every response is reported, so that the age of the
-/// known state can be determined.
+/// While it follows the kind, it lists it unless a revision is known, then
+/// watches for changes; it lists again if the store has compacted the revision.
+/// Every response is reported, so that the age of the known state can be
+/// determined.
 class kind_watch {
  public:
   struct settings {
@@ -29,6 +32,8 @@
     /// Delay after changes, so that one request returns several successive
     /// changes.
     duration batch_delay = milliseconds(0);
+    /// Longest delay after failed requests.
+    duration max_backoff = milliseconds(600);
 
     bool operator==(const settings&) const = default;
   };
@@ -38,8 +43,10 @@
     std::function<void(duration outage)> on_response;
     std::function<void(const platform::store_listing&)> on_list;
     std::function<void(const platform::store_change&)> on_change;
-    /// The known state of the kind was confirmed as of a point in time.
-    std::function<void(const watch_freshness&)> on_confirmed;
+    /// The known state of the kind, which includes all changes up to
+    /// `revision`, was confirmed as of a point in time.
+    std::function<void(const watch_freshness&, std::uint64_t revision)>
+        on_confirmed;
   };
 
   kind_watch(boost::asio::io_context& context,
@@ -48,12 +55,20 @@
              handlers callbacks,
              std::uint64_t seed);
 
-  /// \brief Watches the kind until the `io_context` stops.
+  /// \brief Watches the kind, while it is followed, until the `io_context`
+  /// stops.
   boost::asio::awaitable<void> Run();
+  /// \brief Starts or stops following the kind. A watch request in progress is
+  /// completed.
+  void SetFollowing(bool following);
+  /// \brief Lists the kind once; returns whether the store responded.
+  boost::asio::awaitable<bool> Refresh();
+  /// \brief Continues from a revision whose changes are known from elsewhere.
+  void AdvanceRevision(std::uint64_t revision);
 
  private:
-  boost::asio::awaitable<bool> List();
   boost::asio::awaitable<void> Watch();
+  boost::asio::awaitable<void> WaitUntilFollowing();
   boost::asio::awaitable<void> BackOff();
   boost::asio::awaitable<void> Sleep(duration length);
   void RecordFailure(const error& problem, time_point sent);
@@ -65,8 +80,10 @@
   handlers handlers_;
   random_source random_;
   watch_freshness freshness_;
-  std::uint64_t revision_ = 0;
-  int failures_ = 0;          // consecutive
+  boost::asio::steady_timer following_changed_;
+  bool following_ = false;
+  std::uint64_t revision_ = 0;  // 0 if the kind must be listed
+  int failures_ = 0;            // consecutive
   time_point failing_since_;  // time at which the first failed request was sent
 };
 
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -43,9 +43,9 @@
   if (!ports->is_array() || ports->empty() ||
       !ports->front().is_number_unsigned() ||
       ports->front().get<std::uint64_t>() == 0 ||
-      ports->front().get<std::uint64_t>() > kMaxPort - 2) {
+      ports->front().get<std::uint64_t>() > kMaxPort - 3) {
     reader.Report(finding_kind::kInvalidValue, "internal_ports",
-                  "must begin with the first of three consecutive ports");
+                  "must begin with the first of four consecutive ports");
     return;
   }
   settings.first_internal_port = ports->front().get<std::uint16_t>();
@@ -66,6 +66,8 @@
 void ReadLimits(object_reader& reader, node_settings& settings) {
   settings.drain_timeout =
       ReadMilliseconds(reader, "drain_timeout_ms", settings.drain_timeout);
+  settings.upstream_drain_timeout = ReadMilliseconds(
+      reader, "upstream_drain_ms", settings.upstream_drain_timeout);
   settings.key_revocation_timeout = ReadMilliseconds(
       reader, "key_revocation_ms", settings.key_revocation_timeout);
   settings.rollout_timeout =
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -29,12 +29,14 @@
   std::optional<http_endpoint> readiness_endpoint;
   std::optional<http_endpoint> engine;  ///< Mandatory for a stager.
   service_name service;                 ///< Service of the engine.
-  /// First of three consecutive ports: load reports, chunks, metrics. All VMs
-  /// use the same ports.
+  /// First of four consecutive ports: load reports, chunks, metrics, catalog
+  /// relay. All VMs use the same ports.
   std::uint16_t first_internal_port = 0;
   http_endpoint platform;
   double link_mbps = 1000;  ///< Bandwidth of the VM's network link.
   duration drain_timeout = seconds(8);
+  /// Time after which a draining upstream must receive no new requests.
+  duration upstream_drain_timeout = seconds(2);
   /// Time after which a revoked key must no longer be accepted.
   duration key_revocation_timeout = seconds(5);
   /// Time after which a request must not start on a superseded version.
@@ -54,6 +56,9 @@
   http_endpoint MetricsEndpoint() const {
     return {address, static_cast<std::uint16_t>(first_internal_port + 2)};
   }
+  std::uint16_t RelayPort() const {
+    return static_cast<std::uint16_t>(first_internal_port + 3);
+  }
   /// \brief Returns the region of a data centre, or the name of the data centre
   /// if its region is unknown.
   region_id RegionOf(const data_centre_id& data_centre) const;
--- /dev/null
+++ b/src/node/relay_client.cc
@@ -0,0 +1,140 @@
+#include "node/relay_client.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "fireflyslip/core/rendezvous.h"
+#include "node/compression.h"
+#include "platform/json_access.h"
+
+namespace fireflyslip {
+namespace {
+
+using boost::asio::awaitable;
+
+constexpr int kStatusOk = 200;
+/// Relays are in the same data centre, but may be on a loaded VM.
+constexpr milliseconds kConnectTimeout{300};
+/// Timeout of a poll in addition to its hold time.
+constexpr milliseconds kAnswerTimeout{400};
+/// Timeout of the head and of each part of the content of a configuration.
+constexpr milliseconds kContentTimeout{800};
+constexpr std::size_t kMaxContentBytes = 64UL << 20;
+/// If these fail, the store is watched; more of them would only start more
+/// watches.
+constexpr std::size_t kMaxRelays = 3;
+
+http_client_options ClientOptions() {
+  http_client_options options;
+  options.connect_timeout = kConnectTimeout;
+  return options;
+}
+
+}  // namespace
+
+relay_client::relay_client(boost::asio::io_context& context,
+                           std::uint16_t relay_port,
+                           relay_policy policy,
+                           handlers callbacks,
+                           std::uint64_t seed)
+    : context_(context),
+      relay_port_(relay_port),
+      handlers_(std::move(callbacks)),
+      client_(context, ClientOptions()),
+      timers_(context),
+      selector_(
+          relay_selector(policy, random_source(seed)),
+          timers_,
+          [this](const relay_selector::action& action) { Apply(action); }) {}
+
+void relay_client::SetRelays(std::vector<std::string> addresses) {
+  selector_.Handle(relay_selector::candidates_changed{std::move(addresses)});
+}
+
+void relay_client::Apply(const relay_selector::action& action) {
+  std::visit(overloaded{
+                 [&](const relay_selector::poll& order) {
+                   boost::asio::co_spawn(context_, Poll(order),
+                                         boost::asio::detached);
+                 },
+                 [&](const relay_selector::watch_store&) {
+                   LogLine("event=catalog_source source=store");
+                   handlers_.on_watch_store(true);
+                 },
+                 [&](const relay_selector::leave_store&) {
+                   LogLine("event=catalog_source source=relay");
+                   handlers_.on_watch_store(false);
+                 },
+             },
+             action);
+}
+
+awaitable<void> relay_client::Poll(relay_selector::poll order) {
+  relay_query query = handlers_.query();
+  query.hold = order.hold;
+  http_request request;
+  request.target = RelayTarget(query);
+  const http_endpoint relay{order.address, relay_port_};
+  const time_point sent = MonotonicNow();
+  const auto response = co_await client_.Request(relay, std::move(request),
+                                                 order.hold + kAnswerTimeout);
+  relay_selector::polled polled{order.address, relay_poll_status::kFailed};
+  if (IsOk(response) && ValueOf(response).status == kStatusOk) {
+    const auto answer = DecodeRelayAnswer(ValueOf(response).body);
+    if (answer && answer->fresh) {
+      polled.status = relay_poll_status::kFresh;
+      handlers_.on_answer(*answer, sent);
+    } else if (answer) {
+      polled.status = relay_poll_status::kStale;
+    }
+  }
+  selector_.Handle(polled);
+}
+
+awaitable<result<nlohmann::json>> relay_client::ReadConfiguration() {
+  const std::string relay = selector_.core().current();
+  if (relay.empty()) {
+    co_return error{error_kind::kNoUpstream, "no relay is in use"};
+  }
+  http_request request;
+  request.target = kConfigurationPath;
+  const http_endpoint endpoint{relay, relay_port_};
+  const auto response = co_await client_.Request(
+      endpoint, std::move(request), kContentTimeout, kContentTimeout);
+  if (!IsOk(response)) {
+    co_return ErrorOf(response);
+  }
+  const auto text = ValueOf(response).status == kStatusOk
+                        ? Decompress(ValueOf(response).body, kMaxContentBytes)
+                        : std::nullopt;
+  nlohmann::json content =
+      text ? platform::ParseJson(*text)
+           : nlohmann::json(nlohmann::json::value_t::discarded);
+  if (content.is_discarded()) {
+    co_return error{error_kind::kCorruptData, "relay has no configuration"};
+  }
+  co_return content;
+}
+
+std::vector<std::string> SelectRelays(const upstream_map& upstreams,
+                                      const data_centre_id& data_centre) {
+  std::vector<vm_id> addresses;
+  for (const auto& [id, entry] : upstreams) {
+    const auto endpoint = ParseHttpEndpoint(entry.address);
+    if (endpoint && entry.data_centre == data_centre && !entry.draining &&
+        entry.has_engine) {
+      addresses.emplace_back(endpoint->address);
+    }
+  }
+  addresses = RendezvousOrder("catalog_relay", std::move(addresses));
+  std::vector<std::string> relays;
+  for (const vm_id& address : addresses) {
+    if (relays.size() < kMaxRelays) {
+      relays.push_back(address.value());
+    }
+  }
+  return relays;
+}
+
+}  // namespace fireflyslip
--- /dev/null
+++ b/src/node/relay_message.h
@@ -0,0 +1,86 @@
+#ifndef FIREFLYSLIP_NODE_RELAY_MESSAGE_H_
+#define FIREFLYSLIP_NODE_RELAY_MESSAGE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fireflyslip/catalog/upstream_history.h"
+#include "fireflyslip/core/ids.h"
+#include "fireflyslip/core/time.h"
+
+namespace fireflyslip {
+
+/// \brief Poll of a catalog relay: the store revisions up to which the sender
+/// knows each kind; empty for kinds that it does not need, 0 if nothing is
+/// known.
+struct relay_query {
+  std::optional<std::uint64_t> configuration;
+  std::optional<std::uint64_t> upstreams;
+  std::optional<std::uint64_t> versions;
+  duration hold = {};  ///< Time to wait for news.
+
+  auto operator<=>(const relay_query&) const = default;
+};
+
+/// \brief Newest version of the configuration, without its content.
+struct relayed_configuration {
+  std::uint64_t revision = 0;
+  std::uint64_t version = 0;
+  /// Time since the relay's view was current, when the answer was sent.
+  duration age = {};
+
+  auto operator<=>(const relayed_configuration&) const = default;
+};
+
+/// \brief Published model versions.
+struct relayed_versions {
+  std::uint64_t revision = 0;
+  std::map<model_name, std::uint64_t> versions;
+
+  auto operator<=>(const relayed_versions&) const = default;
+};
+
+/// \brief End of an outage of the store, as the relay saw it.
+struct relayed_outage {
+  duration length = {};
+  duration ended_for = {};  ///< Time since its end.
+
+  auto operator<=>(const relayed_outage&) const = default;
+};
+
+/// \brief Answer to a poll; contains the kinds that the query names.
+struct relay_answer {
+  bool fresh = false;  ///< Whether the view of all kinds is current.
+  duration held = {};  ///< Time between query and answer at the relay.
+  std::optional<relayed_outage> outage;  ///< A recent one.
+  std::optional<relayed_configuration> configuration;
+  std::optional<upstream_changes> upstreams;
+  std::optional<relayed_versions> versions;
+  /// IP addresses of the relays of the data centre in order of preference, for
+  /// processes that do not follow the upstreams.
+  std::vector<std::string> relays;
+
+  bool operator==(const relay_answer&) const = default;
+};
+
+/// \brief Path and query of the HTTP request of a poll.
+std::string RelayTarget(const relay_query& query);
+/// \brief Parses `RelayTarget()`; empty if it is malformed.
+std::optional<relay_query> ParseRelayTarget(std::string_view target);
+
+/// \brief Path at which a relay provides the content of the newest
+/// configuration, compressed.
+inline constexpr char kConfigurationPath[] = "/configuration";
+
+/// \brief Encodes an answer as compressed CBOR.
+std::string EncodeRelayAnswer(const relay_answer& answer);
+/// \brief Decodes an answer; empty if it is malformed.
+std::optional<relay_answer> DecodeRelayAnswer(std::string_view bytes);
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_NODE_RELAY_MESSAGE_H_
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -24,6 +24,10 @@
 /// Long, because keep-alive probes detect an unresponsive connection before the
 /// end of a watch.
 constexpr seconds kVersionWatch{20};
+constexpr milliseconds kMaxWatchBackoff{1500};
+/// Versions are published rarely, and loading one takes seconds.
+constexpr milliseconds kRelayHold{1600};
+constexpr milliseconds kRelaySilence{2400};
 constexpr milliseconds kStoreTimeout{1000};
 constexpr milliseconds kRetryDelay{200};
 constexpr milliseconds kManifestTimeout{600};
@@ -48,6 +52,13 @@
   return policy;
 }
 
+relay_policy RelayPolicy() {
+  relay_policy policy;
+  policy.hold = kRelayHold;
+  policy.max_silence = kRelaySilence;
+  return policy;
+}
+
 weight_stager::fetch_result FetchResultOf(error_kind kind) {
   switch (kind) {
     case error_kind::kNotFound:
@@ -84,9 +95,16 @@
                  [this](const upstream_load& load) { OnReplicaLoad(load); }),
       version_watch_(context,
                      settings.platform,
-                     {platform::kVersionKind, kVersionWatch, duration(0)},
+                     {platform::kVersionKind, kVersionWatch, duration(0),
+                      kMaxWatchBackoff},
                      VersionHandlers(),
                      seed),
+      relay_(context, settings, seed + 1),
+      relay_client_(context,
+                    settings.RelayPort(),
+                    RelayPolicy(),
+                    RelayHandlers(),
+                    seed + 2),
       core_(weight_stager(StagingPolicy(settings),
                           {settings.address, settings.region, false}),
             timers_,
@@ -97,6 +115,11 @@
   if (!IsOk(served)) {
     return ErrorOf(served);
   }
+  const auto relayed =
+      relay_.Listen({settings_.address, settings_.RelayPort()});
+  if (!IsOk(relayed)) {
+    return ErrorOf(relayed);
+  }
   status published = publisher_.Start();
   if (!IsOk(published)) {
     return published;
@@ -120,18 +143,51 @@
       OnVersionObject(change.object);
     }
   };
-  callbacks.on_confirmed = [](const watch_freshness&) {};
+  callbacks.on_confirmed = [this](const watch_freshness&,
+                                  std::uint64_t revision) {
+    versions_revision_ = std::max(versions_revision_, revision);
+  };
+  return callbacks;
+}
+
+relay_client::handlers stager::RelayHandlers() {
+  relay_client::handlers callbacks;
+  callbacks.query = [this] {
+    return relay_query{std::nullopt, std::nullopt, versions_revision_, {}};
+  };
+  callbacks.on_answer = [this](const relay_answer& answer, time_point) {
+    if (!answer.versions) {
+      return;
+    }
+    versions_revision_ =
+        std::max(versions_revision_, answer.versions->revision);
+    for (const auto& [model, version] : answer.versions->versions) {
+      SetNewestVersion(model, version);
+    }
+    versions_listed_ = true;
+    relay_client_.SetRelays(answer.relays);
+  };
+  callbacks.on_watch_store = [this](bool watch) {
+    version_watch_.AdvanceRevision(versions_revision_);
+    version_watch_.SetFollowing(watch);
+    if (watch) {  // the relays may have been replaced
+      boost::asio::co_spawn(context_, RefreshPeers(), boost::asio::detached);
+    }
+  };
   return callbacks;
 }
 
 void stager::OnVersionObject(const platform::store_object& object) {
   const auto target = platform::DecodeTargetVersion(object.content);
-  if (!target || (!model_.empty() && target->model != model_)) {
-    return;
+  if (target) {
+    SetNewestVersion(target->model, target->version);
   }
-  if (target->version > newest_version_) {
-    newest_version_ = target->version;
-    LogLine("event=version_named model=" + target->model.value() +
+}
+
+void stager::SetNewestVersion(const model_name& model, std::uint64_t version) {
+  if ((model_.empty() || model == model_) && version > newest_version_) {
+    newest_version_ = version;
+    LogLine("event=version_named model=" + model.value() +
             " version=" + std::to_string(newest_version_));
   }
 }
@@ -172,6 +228,7 @@
     }
     co_await Sleep(kRetryDelay);
   }
+  co_await RefreshPeers();
   co_await FollowTarget();
 }
 
@@ -199,6 +256,8 @@
       if (endpoint) {
         model_ = service->engine->models.front();
         origin_region_ = settings_.RegionOf(other.origin->data_centre);
+        origin_link_mbps_ = other.origin->link_mbps;
+        chunk_bytes_ = service->engine->chunk_bytes;
         origin_ =
             std::make_unique<platform::origin_client>(context_, *endpoint);
         co_return true;
@@ -208,6 +267,15 @@
   co_return false;
 }
 
+duration stager::OriginChunkTime() const {
+  constexpr double kBitsPerMegabit = 1e6;
+  constexpr double kBitsPerByte = 8;
+  return origin_link_mbps_ > 0
+             ? FromSeconds(static_cast<double>(chunk_bytes_) * kBitsPerByte /
+                           (origin_link_mbps_ * kBitsPerMegabit))
+             : duration(0);
+}
+
 awaitable<void> stager::FollowTarget() {
   // The first target requires a reachable replica, because a replica that was
   // running before this process may already hold that version.
@@ -235,10 +303,7 @@
 }
 
 awaitable<bool> stager::StartTarget(std::uint64_t version) {
-  auto read = co_await origin_->ReadManifest(model_, version, kManifestTimeout);
-  if (!IsOk(read)) {
-    read = co_await ReadManifestFromPeers(version);
-  }
+  const auto read = co_await ReadManifest(version);
   if (!IsOk(read)) {
     if (!manifest_failed_) {
       LogLine("event=manifest_failed version=" + std::to_string(version) +
@@ -256,43 +321,64 @@
   LogLine("event=target version=" + std::to_string(version) +
           " chunks=" + std::to_string(manifest.digests.size()));
   const weight_stager::target_assigned target{version, manifest.digests.size(),
-                                              may_be_staged};
+                                              may_be_staged, OriginChunkTime()};
   core_.Handle(target);
   co_return true;
 }
 
-awaitable<result<platform::weight_manifest>> stager::ReadManifestFromPeers(
+awaitable<result<platform::weight_manifest>> stager::ReadManifest(
     std::uint64_t version) {
+  const staging_peer self{settings_.address, settings_.region, false};
+  const std::vector<staging_source> sources =
+      ManifestSources(self, peers_, origin_region_);
   result<platform::weight_manifest> manifest =
       error{error_kind::kNotFound,
             "neither the origin nor a peer provides the manifest"};
-  co_await RefreshPeers();
-  const std::vector<std::string> addresses = peer_addresses_;
-  for (const std::string& address : addresses) {
-    const http_endpoint peer{address, settings_.ChunkEndpoint().port};
-    http_request request;
-    request.target = ManifestPath(version);
-    const auto answer = co_await peer_client_.Request(peer, std::move(request),
-                                                      kManifestTimeout);
-    if (IsOk(answer) && ValueOf(answer).status == kStatusOk) {
-      const auto digests = ParseManifestText(ValueOf(answer).body);
-      if (digests) {
-        manifest = platform::weight_manifest{version, *digests};
-        break;
-      }
+  for (const staging_source& source : sources) {
+    if (source.kind == source_kind::kOrigin) {
+      manifest =
+          co_await origin_->ReadManifest(model_, version, kManifestTimeout);
+    } else {
+      manifest = co_await ReadManifestFromPeer(source.address, version);
+    }
+    if (IsOk(manifest)) {
+      break;
     }
   }
   co_return manifest;
 }
 
+awaitable<result<platform::weight_manifest>> stager::ReadManifestFromPeer(
+    std::string address,
+    std::uint64_t version) {
+  const http_endpoint peer{std::move(address), settings_.ChunkEndpoint().port};
+  http_request request;
+  request.target = ManifestPath(version);
+  const auto answer =
+      co_await peer_client_.Request(peer, std::move(request), kManifestTimeout);
+  if (!IsOk(answer)) {
+    co_return ErrorOf(answer);
+  }
+  const auto digests = ValueOf(answer).status == kStatusOk
+                           ? ParseManifestText(ValueOf(answer).body)
+                           : std::nullopt;
+  if (!digests) {
+    co_return error{error_kind::kNotFound, "the peer has no manifest"};
+  }
+  co_return platform::weight_manifest{version, *digests};
+}
+
 awaitable<void> stager::RefreshPeers() {
   const std::string kind = platform::kUpstreamKind;
   const auto listed = co_await store_.List(kind, true, kStoreTimeout);
   if (!IsOk(listed)) {
+    if (peers_.empty()) {
+      relay_client_.SetRelays({});  // the store is watched until there are some
+    }
     co_return;
   }
   weight_stager::peers_changed change;
-  peer_addresses_.clear();
+  upstream_map upstreams;
   change.origin_region = origin_region_;
   for (const platform::store_object& object : ValueOf(listed).objects) {
     const auto entry = platform::DecodeUpstream(object.name, object.content);
@@ -301,17 +387,17 @@
     if (!endpoint || entry->service != settings_.service || entry->draining) {
       continue;
     }
+    upstreams.emplace(entry->id, *entry);
     const auto found = entry->model_versions.find(model_);
     const bool has_version = found != entry->model_versions.end() &&
                              found->second == chunks_.version();
-    if (endpoint->address != settings_.address) {
-      peer_addresses_.push_back(endpoint->address);
-    }
     change.peers.push_back({endpoint->address,
                             settings_.RegionOf(entry->data_centre),
                             has_version});
   }
+  peers_ = change.peers;
   core_.Handle(change);
+  relay_client_.SetRelays(SelectRelays(upstreams, settings_.data_centre));
 }
 
 awaitable<result<std::string>> stager::ReadBody(
--- a/src/stager/stager.h
+++ b/src/stager/stager.h
@@ -12,8 +12,10 @@
 #include "fireflyslip/http.h"
 #include "fireflyslip/runtime.h"
 #include "fireflyslip/staging.h"
+#include "node/catalog_relay.h"
 #include "node/kind_watch.h"
 #include "node/node_settings.h"
+#include "node/relay_client.h"
 #include "platform/engine_client.h"
 #include "platform/store_client.h"
 #include "stager/chunk_server.h"
@@ -23,7 +25,8 @@
 namespace fireflyslip {
 
 /// \brief Agent of a model replica: stages and loads the weights of the target
-/// version and reports the load of the replica. Runs on one thread.
+/// version, reports the load of the replica and serves as catalog relay of its
+/// data centre. Runs on one thread.
 class stager {
  public:
   stager(boost::asio::io_context& context,
@@ -37,7 +40,9 @@
 
  private:
   kind_watch::handlers VersionHandlers();
+  relay_client::handlers RelayHandlers();
   void OnVersionObject(const platform::store_object& object);
+  void SetNewestVersion(const model_name& model, std::uint64_t version);
   void OnReplicaLoad(const upstream_load& load);
   void Apply(const weight_stager::action& action);
 
@@ -46,9 +51,13 @@
   boost::asio::awaitable<void> Run();
   boost::asio::awaitable<bool> ReadConfiguration();
   boost::asio::awaitable<void> FollowTarget();
+  /// \brief Time that the origin's link takes for one chunk; zero if unknown.
+  duration OriginChunkTime() const;
   boost::asio::awaitable<bool> StartTarget(std::uint64_t version);
+  boost::asio::awaitable<result<platform::weight_manifest>> ReadManifest(
+      std::uint64_t version);
   boost::asio::awaitable<result<platform::weight_manifest>>
-  ReadManifestFromPeers(std::uint64_t version);
+  ReadManifestFromPeer(std::string address, std::uint64_t version);
   boost::asio::awaitable<void> RefreshPeers();
   static boost::asio::awaitable<result<std::string>> ReadBody(
       std::shared_ptr<response_reader> reader);
@@ -70,13 +79,18 @@
   chunk_server chunk_server_;
   load_publisher publisher_;
   kind_watch version_watch_;
+  catalog_relay relay_;
+  relay_client relay_client_;
+  std::uint64_t versions_revision_ = 0;
   core_driver<weight_stager> core_;
   region_id origin_region_;
   model_name model_;
   std::uint64_t newest_version_ = 0;  // published by operators
   bool versions_listed_ = false;
   std::optional<upstream_load> replica_load_;
-  std::vector<std::string> peer_addresses_;
+  std::vector<staging_peer> peers_;
+  double origin_link_mbps_ = 0;  // 0 if unknown
+  std::size_t chunk_bytes_ = 0;
   bool manifest_failed_ = false;  // result of the last read; limits logging
 };
 
--- /dev/null
+++ b/tests/node/catalog_relay_test.cc
@@ -0,0 +1,212 @@
+#include "node/catalog_relay.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "node/fake_store.h"
+#include "node/relay_client.h"
+
+namespace fireflyslip {
+namespace {
+
+/// \brief A relay between a store and clients, on one thread.
+class catalog_relay_test : public testing::Test {
+ protected:
+  /// \brief Process that follows the relay.
+  struct follower {
+    std::unique_ptr<relay_client> client;
+    relay_query known{0, 0, 0, {}};
+    std::map<upstream_id, upstream_entry> upstreams;
+    std::uint64_t configuration = 0;
+    std::uint64_t version = 0;
+    std::optional<time_point> current_as_of;
+    std::size_t answers = 0;
+    std::size_t changes = 0;
+    bool watches_store = false;
+  };
+
+  catalog_relay_test() : store_(context_) {
+    settings_.platform = store_.endpoint();
+    settings_.data_centre = data_centre_id("akl");
+    store_.PutConfiguration(1);
+    store_.PutVersion(1);
+    store_.PutUpstream("i-1", "127.0.0.1:80");
+    relay_ = std::make_unique<catalog_relay>(context_, settings_, 1);
+    const auto port = relay_->Listen({"127.0.0.1", 0});
+    EXPECT_TRUE(IsOk(port));
+    port_ = ValueOf(port);
+  }
+
+  follower& AddFollower() {
+    follower& added = *followers_.emplace_back(std::make_unique<follower>());
+    relay_client::handlers callbacks;
+    callbacks.query = [&added] { return added.known; };
+    callbacks.on_answer = [&added](const relay_answer& answer,
+                                   time_point sent) {
+      ++added.answers;
+      added.known.upstreams = answer.upstreams->revision;
+      added.known.versions = answer.versions->revision;
+      added.known.configuration = answer.configuration->revision;
+      added.changes += answer.upstreams->changes.size();
+      for (const upstream_change& change : answer.upstreams->changes) {
+        added.upstreams.erase(change.id);
+        if (change.entry) {
+          added.upstreams.emplace(change.id, *change.entry);
+        }
+      }
+      added.configuration = answer.configuration->version;
+      added.version = answer.versions->versions.begin()->second;
+      added.current_as_of = sent + answer.held - answer.configuration->age;
+    };
+    callbacks.on_watch_store = [&added](bool watch) {
+      added.watches_store = watch;
+    };
+    added.client =
+        std::make_unique<relay_client>(context_, port_, relay_policy{},
+                                       std::move(callbacks), followers_.size());
+    added.client->SetRelays({"127.0.0.1"});
+    return added;
+  }
+
+  /// Runs until the condition holds or the time is over.
+  bool RunUntil(const std::function<bool()>& condition,
+                duration limit = seconds(20)) {
+    const time_point end = MonotonicNow() + limit;
+    while (!condition() && MonotonicNow() < end) {
+      context_.run_for(std::chrono::milliseconds(5));
+    }
+    return condition();
+  }
+
+  boost::asio::io_context context_;
+  fake_store store_;
+  node_settings settings_;
+  std::unique_ptr<catalog_relay> relay_;
+  unsigned short port_ = 0;
+  std::vector<std::unique_ptr<follower>> followers_;
+};
+
+// Guards against a change that does not reach the processes behind a relay.
+TEST_F(catalog_relay_test, Store_Changes_AllFollowersLearn) {
+  for (int i = 0; i < 3; ++i) {
+    AddFollower();
+  }
+  const auto all = [&](const std::function<bool(const follower&)>& holds) {
+    return RunUntil([&] {
+      return std::all_of(followers_.begin(), followers_.end(),
+                         [&](const auto& item) { return holds(*item); });
+    });
+  };
+  EXPECT_TRUE(all([](const follower& process) {
+    return process.configuration == 1 && process.version == 1 &&
+           process.upstreams.contains(upstream_id("i-1"));
+  }));
+  store_.PutConfiguration(4);
+  store_.PutVersion(2);
+  store_.PutUpstream("i-1", "127.0.0.1:80", "draining");
+  store_.PutUpstream("i-2", "127.0.0.1:81");
+  EXPECT_TRUE(all([](const follower& process) {
+    const auto found = process.upstreams.find(upstream_id("i-1"));
+    return process.configuration == 4 && process.version == 2 &&
+           process.upstreams.size() == 2 && found->second.draining;
+  }));
+  store_.Remove(platform::kUpstreamKind, "i-1");
+  EXPECT_TRUE(all([](const follower& process) {
+    return !process.upstreams.contains(upstream_id("i-1"));
+  }));
+}
+
+// Guards against store calls and messages that grow with the number of
+// processes: a change goes to each one once, as a difference.
+TEST_F(catalog_relay_test, Followers_Many_StoreCallsOfOneProcess) {
+  for (int i = 0; i < 40; ++i) {
+    store_.PutUpstream("r-" + std::to_string(i), "127.0.0.1:90");
+  }
+  for (int i = 0; i < 30; ++i) {
+    AddFollower();
+  }
+  EXPECT_TRUE(RunUntil([&] {
+    return std::all_of(followers_.begin(), followers_.end(),
+                       [](const auto& f) { return f->upstreams.size() == 41; });
+  }));
+  // Three lists and the first watches.
+  EXPECT_LE(store_.calls(), 10U);
+  store_.PutUpstream("r-1", "127.0.0.1:90", "draining");
+  EXPECT_TRUE(RunUntil([&] {
+    return std::all_of(followers_.begin(), followers_.end(), [](const auto& f) {
+      return f->upstreams.at(upstream_id("r-1")).draining;
+    });
+  }));
+  for (const auto& process : followers_) {
+    EXPECT_EQ(process->changes, 42U);
+  }
+}
+
+// Guards against trust in a relay that has lost the store: its followers would
+// not hear of draining upstreams and revoked keys.
+TEST_F(catalog_relay_test, Store_Silent_FollowersWatchTheStoreThemselves) {
+  follower& process = AddFollower();
+  ASSERT_TRUE(RunUntil([&] { return process.configuration == 1; }));
+  EXPECT_FALSE(process.watches_store);
+  store_.set_mode(fake_store::mode::kSilent);
+  EXPECT_TRUE(RunUntil([&] { return process.watches_store; }));
+  store_.set_mode(fake_store::mode::kUp);
+  EXPECT_TRUE(RunUntil([&] { return !process.watches_store; }));
+}
+
+// Guards against key revocations that count as known up to a time that the
+// relay has not confirmed: the age must grow while the store is away.
+TEST_F(catalog_relay_test, Store_Silent_AgeOfConfigurationGrows) {
+  follower& process = AddFollower();
+  ASSERT_TRUE(RunUntil([&] { return process.configuration == 1; }));
+  const time_point silent_since = MonotonicNow();
+  store_.set_mode(fake_store::mode::kSilent);
+  ASSERT_TRUE(RunUntil([&] { return process.watches_store; }));
+  EXPECT_LE(*process.current_as_of, silent_since);
+}
+
+// Guards against the end of a relay by a malformed response of the store, and
+// against followers that then trust it.
+TEST_F(catalog_relay_test, Store_SendsGarbage_RelayContinuesAndRecovers) {
+  follower& process = AddFollower();
+  ASSERT_TRUE(RunUntil([&] { return process.configuration == 1; }));
+  store_.set_mode(fake_store::mode::kGarbage);
+  ASSERT_TRUE(RunUntil([&] { return process.watches_store; }));
+  store_.PutConfiguration(2);
+  store_.set_mode(fake_store::mode::kUp);
+  EXPECT_TRUE(RunUntil([&] { return process.configuration == 2; }));
+}
+
+// Guards against requests for a configuration that the store does not serve to
+// this VM: the relay provides its content.
+TEST_F(catalog_relay_test, Configuration_ReadFromRelay_ContentOfNewest) {
+  follower& process = AddFollower();
+  store_.PutConfiguration(9);
+  ASSERT_TRUE(RunUntil([&] { return process.configuration == 9; }));
+  std::optional<result<nlohmann::json>> content;
+  boost::asio::co_spawn(
+      context_,
+      [&]() -> boost::asio::awaitable<void> {
+        content = co_await process.client->ReadConfiguration();
+      },
+      boost::asio::detached);
+  ASSERT_TRUE(RunUntil([&] { return content.has_value(); }));
+  ASSERT_TRUE(IsOk(*content));
+  EXPECT_EQ(ValueOf(*content)["version"], 9);
+}
+
+// Guards against watches that go on for nobody.
+TEST_F(catalog_relay_test, Followers_None_StoreNotCalled) {
+  context_.run_for(std::chrono::milliseconds(200));
+  EXPECT_EQ(store_.calls(), 0U);
+}
+
+}  // namespace
+}  // namespace fireflyslip
--- /dev/null
+++ b/tests/node/fake_store.h
@@ -0,0 +1,169 @@
+#ifndef TESTS_NODE_FAKE_STORE_H_
+#define TESTS_NODE_FAKE_STORE_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "fireflyslip/http.h"
+#include "platform/wire_names.h"
+
+namespace fireflyslip {
+
+/// \brief Store of the platform on the loopback interface, with lists and
+/// watches of whole kinds.
+class fake_store {
+ public:
+  enum class mode {
+    kUp,
+    kSilent,   ///< Accepts requests and does not respond.
+    kRefuses,  ///< Responds with 503.
+    kGarbage,  ///< Responds with bytes that are not JSON.
+  };
+
+  explicit fake_store(boost::asio::io_context& context)
+      : context_(context),
+        server_(context,
+                {},
+                [this](http_request request, response_writer& writer) {
+                  return Serve(std::move(request), writer);
+                }) {
+    const auto port = server_.Listen({"127.0.0.1", 0});
+    endpoint_ = {"127.0.0.1", std::get<unsigned short>(port)};
+  }
+
+  const http_endpoint& endpoint() const { return endpoint_; }
+  std::size_t calls() const { return calls_; }
+  void set_mode(mode value) { mode_ = value; }
+
+  void Put(const std::string& kind,
+           const std::string& name,
+           nlohmann::json spec) {
+    objects_[kind][name] = {std::move(spec), ++revision_, false};
+  }
+  void Remove(const std::string& kind, const std::string& name) {
+    objects_[kind][name] = {nullptr, ++revision_, true};
+  }
+
+  /// \brief Adds a ready replica.
+  void PutUpstream(const std::string& name,
+                   const std::string& address,
+                   const std::string& state = "ready") {
+    Put(platform::kUpstreamKind, name,
+        {{"service", "singer"},
+         {"address", address},
+         {"zone", "akl"},
+         {"version", "1"},
+         {"slots", 8},
+         {"state", state},
+         {"sequence", 1},
+         {"modelList", nlohmann::json::array()}});
+  }
+  void PutConfiguration(std::uint64_t version) {
+    Put(platform::kConfigurationKind, platform::kConfigurationName,
+        {{"version", version},
+         {"routes", nlohmann::json::array()},
+         {"services", nlohmann::json::array()}});
+  }
+  void PutVersion(std::uint64_t version) {
+    Put(platform::kVersionKind, "m",
+        {{"modelName", "m"}, {"version", version}});
+  }
+
+ private:
+  struct object {
+    nlohmann::json spec;
+    std::uint64_t revision = 0;
+    bool removed = false;
+  };
+
+  boost::asio::awaitable<void> Serve(http_request request,
+                                     response_writer& writer) {
+    ++calls_;
+    http_response response;
+    if (mode_ == mode::kSilent) {
+      boost::asio::steady_timer timer(context_, seconds(60));
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    if (mode_ == mode::kRefuses) {
+      response.status = 503;
+      co_await writer.Send(std::move(response));
+      co_return;
+    }
+    if (mode_ == mode::kGarbage) {
+      response.body = "\x80{{{]";
+      co_await writer.Send(std::move(response));
+      co_return;
+    }
+    const std::string path(request.path());
+    const std::string kind =
+        path.substr(std::string_view(platform::kObjectsPath).size());
+    const std::string since(request.QueryParameter("watchRevision"));
+    if (since.empty()) {
+      response.body = List(kind).dump();
+    } else {
+      const std::uint64_t revision = std::stoull(since);
+      const int wait_ms =
+          std::stoi(std::string(request.QueryParameter("waitMs")));
+      nlohmann::json events = Events(kind, revision);
+      constexpr int kStepMs = 5;
+      for (int waited = 0; events.empty() && waited < wait_ms;
+           waited += kStepMs) {
+        boost::asio::steady_timer timer(context_, milliseconds(kStepMs));
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        events = Events(kind, revision);
+      }
+      response.body =
+          nlohmann::json{{"events", events}, {"at", revision_}}.dump();
+    }
+    co_await writer.Send(std::move(response));
+  }
+
+  nlohmann::json List(const std::string& kind) const {
+    nlohmann::json entries = nlohmann::json::array();
+    const auto found = objects_.find(kind);
+    if (found != objects_.end()) {
+      for (const auto& [name, object] : found->second) {
+        if (!object.removed) {
+          entries.push_back(Encode(name, object));
+        }
+      }
+    }
+    return {{"entries", entries}, {"hasMore", false}, {"at", revision_}};
+  }
+
+  nlohmann::json Events(const std::string& kind, std::uint64_t since) const {
+    nlohmann::json events = nlohmann::json::array();
+    const auto found = objects_.find(kind);
+    if (found != objects_.end()) {
+      for (const auto& [name, object] : found->second) {
+        if (object.revision > since) {
+          events.push_back({{"eventObject", Encode(name, object)},
+                            {"deleted", object.removed}});
+        }
+      }
+    }
+    return events;
+  }
+
+  static nlohmann::json Encode(const std::string& name, const object& object) {
+    return {{"metadata", {{"name", name}, {"revision", object.revision}}},
+            {"spec", object.spec}};
+  }
+
+  boost::asio::io_context& context_;
+  http_server server_;
+  http_endpoint endpoint_;
+  std::map<std::string, std::map<std::string, object>> objects_;
+  std::uint64_t revision_ = 1;
+  std::size_t calls_ = 0;
+  mode mode_ = mode::kUp;
+};
+
+}  // namespace fireflyslip
+
+#endif  // TESTS_NODE_FAKE_STORE_H_
--- /dev/null
+++ b/tests/node/relay_message_test.cc
@@ -0,0 +1,109 @@
+#include "node/relay_message.h"
+
+#include <gtest/gtest.h>
+
+#include "node/compression.h"
+
+namespace fireflyslip {
+namespace {
+
+class relay_message_test : public testing::Test {
+ protected:
+  static upstream_entry Entry(const std::string& id) {
+    upstream_entry entry;
+    entry.id = upstream_id(id);
+    entry.service = service_name("singer");
+    entry.address = "10.1.0.40:8000";
+    entry.data_centre = data_centre_id("akl-a");
+    entry.slots = 8;
+    entry.has_engine = true;
+    entry.started_ms = 1'764'000'000'000;
+    entry.model_versions[model_name("m")] = 3;
+    return entry;
+  }
+
+  static relay_answer Answer() {
+    relay_answer answer;
+    answer.fresh = true;
+    answer.held = milliseconds(800);
+    answer.outage = {seconds(3), milliseconds(200)};
+    answer.configuration = {17, 5, milliseconds(900)};
+    answer.upstreams = upstream_changes{
+        20,
+        false,
+        {{upstream_id("a"), Entry("a")}, {upstream_id("b"), std::nullopt}}};
+    answer.versions = {12, {{model_name("m"), 3}}};
+    answer.relays = {"10.1.0.40", "10.1.0.41"};
+    return answer;
+  }
+};
+
+TEST_F(relay_message_test, Query_Formatted_ParsesEqual) {
+  const relay_query query{5, std::nullopt, 0, milliseconds(800)};
+  EXPECT_EQ(ParseRelayTarget(RelayTarget(query)), query);
+}
+
+// Guards against accepting requests that are not polls.
+TEST_F(relay_message_test, Query_Malformed_Nothing) {
+  EXPECT_EQ(ParseRelayTarget("/other?upstreams=1"), std::nullopt);
+  EXPECT_EQ(ParseRelayTarget("/catalog?upstreams=x"), std::nullopt);
+  EXPECT_EQ(ParseRelayTarget("/catalog?upstreams=99999999999999999999"),
+            std::nullopt);
+}
+
+TEST_F(relay_message_test, Answer_Encoded_DecodesEqual) {
+  EXPECT_EQ(DecodeRelayAnswer(EncodeRelayAnswer(Answer())), Answer());
+  EXPECT_EQ(DecodeRelayAnswer(EncodeRelayAnswer({})), relay_answer{});
+}
+
+// Guards against an end of the process by bytes from a relay in trouble, and
+// against taking a part of an answer for the whole.
+TEST_F(relay_message_test, Answer_TruncatedOrCorrupt_NothingOrWhole) {
+  const std::string bytes = EncodeRelayAnswer(Answer());
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    EXPECT_EQ(DecodeRelayAnswer(bytes.substr(0, size)), std::nullopt);
+  }
+  for (std::size_t i = 0; i < bytes.size(); ++i) {
+    std::string corrupt = bytes;
+    corrupt[i] = static_cast<char>(corrupt[i] ^ 0x20);
+    const auto decoded = DecodeRelayAnswer(corrupt);
+    EXPECT_TRUE(!decoded || *decoded == Answer()) << i;
+  }
+}
+
+// Guards against values of another type in a well-formed message.
+TEST_F(relay_message_test, Answer_OtherTypes_Nothing) {
+  const std::string cbor("\x81\x01", 2);  // [1]
+  EXPECT_EQ(DecodeRelayAnswer(Compress(cbor)), std::nullopt);
+  EXPECT_EQ(DecodeRelayAnswer(Compress("text")), std::nullopt);
+}
+
+// Guards against an answer that fills the link of a replica's VM: at the start
+// it goes to each process of the data centre.
+TEST_F(relay_message_test, Answer_AllUpstreamsOfLargeFleet_Small) {
+  relay_answer answer;
+  answer.upstreams = upstream_changes{1, true, {}};
+  constexpr int kUpstreams = 350;
+  constexpr std::size_t kMaxBytesPerUpstream = 40;
+  for (int i = 0; i < kUpstreams; ++i) {
+    upstream_entry entry = Entry("i-" + std::to_string(i * 7919));
+    entry.address = "10.1.0." + std::to_string(i) + ":8000";
+    entry.started_ms += static_cast<std::uint64_t>(i) * 13;
+    answer.upstreams->changes.push_back({entry.id, entry});
+  }
+  EXPECT_LE(EncodeRelayAnswer(answer).size(),
+            kUpstreams * kMaxBytesPerUpstream);
+}
+
+// Guards against a process that runs out of memory for bytes that expand
+// without end.
+TEST_F(relay_message_test, Decompress_MoreThanLimit_Nothing) {
+  const std::string bytes(1UL << 20, 'a');
+  const std::string compressed = Compress(bytes);
+  EXPECT_EQ(Decompress(compressed, bytes.size()), bytes);
+  EXPECT_EQ(Decompress(compressed, bytes.size() - 1), std::nullopt);
+  EXPECT_EQ(Decompress(compressed + "x", bytes.size()), std::nullopt);
+}
+
+}  // namespace
+}  // namespace fireflyslip
