Confirm keys while configurations come in quick succession

Cause: behind a relay, keys were confirmed only while the newest announced version was in force.

Change: each announcement is kept with its version, and confirms the keys when that version or a later one is in force.

--- a/include/fireflyslip/catalog.h
+++ b/include/fireflyslip/catalog.h
@@ -5,6 +5,7 @@
 /// published model versions, the age of that view and where it comes from.
 
 #include "fireflyslip/catalog/deployment.h"
+#include "fireflyslip/catalog/pending_confirmations.h"
 #include "fireflyslip/catalog/relay_selector.h"
 #include "fireflyslip/catalog/route_table.h"
 #include "fireflyslip/catalog/upstream_entry.h"
--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -215,13 +215,28 @@
       std::max(*known_revisions_.configuration, answer.configuration->revision);
   announced_configuration_ =
       std::max(announced_configuration_, answer.configuration->version);
-  if (deployment_ && deployment_->version >= announced_configuration_) {
-    ConfirmKeys(query_sent + answer.held - answer.configuration->age);
-  } else if (!reading_configuration_) {
+  pending_confirmations_.Announce(
+      answer.configuration->version,
+      query_sent + answer.held - answer.configuration->age);
+  ConfirmAnnounced();
+  const bool is_newest =
+      deployment_ && deployment_->version >= announced_configuration_;
+  if (!is_newest && !reading_configuration_) {
     boost::asio::co_spawn(context_, ReadConfiguration(), boost::asio::detached);
   }
 }
 
+void catalog_feed::ConfirmAnnounced() {
+  if (!deployment_) {
+    return;
+  }
+  const auto confirmed =
+      pending_confirmations_.TakeConfirmed(deployment_->version);
+  if (confirmed) {
+    ConfirmKeys(*confirmed);
+  }
+}
+
 kind_watch::handlers catalog_feed::ConfigurationHandlers() {
   kind_watch::handlers callbacks;
   callbacks.on_response = [](duration) {};
@@ -346,6 +361,7 @@
           " routes=" + std::to_string(deployment_->routes.size()) +
           " keys=" + std::to_string(deployment_->keys.size()));
   handlers_.on_deployment(deployment_);
+  ConfirmAnnounced();
 }
 
 void catalog_feed::ApplyTargetVersion(const platform::store_object& object,
--- a/src/gateway/catalog_feed.h
+++ b/src/gateway/catalog_feed.h
@@ -67,6 +67,9 @@
   void ApplyUpstream(const upstream_change& change, bool unreadable);
   void ApplyTargetVersion(const platform::store_object& object, bool at_start);
   void ConfirmKeys(time_point current_as_of);
+  /// \brief Confirms the keys as of the announcements that the configuration in
+  /// force covers.
+  void ConfirmAnnounced();
   void SetTargetVersion(const model_name& model,
                         std::uint64_t version,
                         bool at_start);
@@ -87,6 +90,7 @@
   std::shared_ptr<const upstream_map> upstreams_;
   relay_query known_revisions_;
   std::uint64_t announced_configuration_ = 0;  // newest version of a relay
+  pending_confirmations pending_confirmations_;
   bool reading_configuration_ = false;
   std::map<model_name, std::uint64_t> target_versions_;
   bool upstreams_listed_ = false;
--- a/tests/staging/virtual_rollout.h
+++ b/tests/staging/virtual_rollout.h
@@ -70,6 +70,8 @@
         [](const auto& agent) { return agent->core.IsFetched(); }));
   }
   std::size_t size() const { return agents_.size(); }
+  /// Requests to the origin and to agents.
+  std::size_t requests() const { return requests_; }
 
  private:
   struct agent {
@@ -119,6 +121,7 @@
   }
 
   void StartFetch(std::size_t index, const weight_stager::fetch& order) {
+    ++requests_;
     if (order.source.kind == source_kind::kOrigin) {
       if (now_ > kStart + options_.origin_lifetime) {
         End(index, order, weight_stager::fetch_result::kFailed,
@@ -184,6 +187,7 @@
   std::size_t next_order_ = 0;
   time_point origin_free_ = kStart;
   std::size_t origin_sent_ = 0;
+  std::size_t requests_ = 0;
 };
 
 }  // namespace fireflyslip
