End stalled streams and responses without end

Looked for after reports of operators: a stream whose upstream sends a byte now and then was never resumed elsewhere, and a body or an event without end was kept in memory until the deadline (200 MB in the test). Heads are limited already.

Only complete events count as progress now, and responses and events have a limit.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -35,6 +35,10 @@
 constexpr double kReadTimeoutFraction = 0.5;
 /// Remaining time below which another attempt cannot complete.
 constexpr milliseconds kMinAttemptTime{30};
+/// Longest response that is kept in memory, and longest event of a stream. An
+/// upstream in trouble may send bytes without end.
+constexpr std::size_t kMaxResponseBytes = 8UL << 20;
+constexpr std::size_t kMaxEventBytes = 1UL << 20;
 /// Longest idle time of a connection for a non-idempotent request: the upstream
 /// may be about to close an older one, which would leave the outcome unknown.
 constexpr milliseconds kNonIdempotentMaxIdle{800};
@@ -355,6 +359,9 @@
       co_return MakeFailureReport(started_at, read_timeout, ErrorOf(part));
     }
     response.body += ValueOf(part);
+    if (response.body.size() > kMaxResponseBytes) {
+      co_return OversizeReport("response is too long");
+    }
   }
   reader->ReleaseConnection();
   attempt_report report;
@@ -386,14 +393,22 @@
     std::shared_ptr<response_reader> reader) {
   attempt_report report;
   cursor_.Restart();
+  // Only complete events count as progress: a stalled upstream may still send a
+  // byte now and then.
+  time_point progress_at = MonotonicNow();
   while (!reader->complete()) {
     const time_point started_at = MonotonicNow();
-    const duration read_timeout = std::min(ReadTimeout(), RemainingTime());
+    const duration read_timeout = std::max(
+        duration(0),
+        std::min(progress_at + ReadTimeout() - started_at, RemainingTime()));
     const auto part = co_await reader->Read(read_timeout);
     if (!IsOk(part)) {
       co_return MakeFailureReport(started_at, read_timeout, ErrorOf(part));
     }
     std::string events = cursor_.Feed(ValueOf(part));
+    if (cursor_.partial_event_bytes() > kMaxEventBytes) {
+      co_return OversizeReport("event is too long");
+    }
     if (events.empty()) {
       continue;
     }
@@ -405,6 +420,7 @@
       report.status = attempt_status::kAbandoned;
       co_return report;
     }
+    progress_at = MonotonicNow();  // the client may have taken its time
   }
   if (cursor_.has_partial_event() || !stream_started_) {
     report.status = attempt_status::kFailed;
@@ -419,6 +435,13 @@
   co_return report;
 }
 
+exchange::attempt_report exchange::OversizeReport(const std::string& detail) {
+  attempt_report report;
+  report.status = attempt_status::kFailed;
+  report.detail = detail;
+  return report;
+}
+
 awaitable<bool> exchange::WriteEvents(const http_response& head,
                                       std::string events) {
   if (!stream_started_) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -71,6 +71,8 @@
   attempt_report MakeFailureReport(time_point started_at,
                                    duration read_timeout,
                                    const error& problem) const;
+  /// \brief Report of an attempt whose response exceeds a size limit.
+  static attempt_report OversizeReport(const std::string& detail);
   duration RemainingTime() const;
   duration ReadTimeout() const;
   duration EstimatedPrefillTime() const;
--- a/src/gateway/stream_cursor.h
+++ b/src/gateway/stream_cursor.h
@@ -1,6 +1,7 @@
 #ifndef FIREFLYSLIP_GATEWAY_STREAM_CURSOR_H_
 #define FIREFLYSLIP_GATEWAY_STREAM_CURSOR_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -29,6 +30,8 @@
 
   /// \brief Whether the bytes end in the middle of an event.
   bool has_partial_event() const { return !pending_.empty(); }
+  /// \brief Number of bytes after the last complete event.
+  std::size_t partial_event_bytes() const { return pending_.size(); }
   /// \brief Id of the last event that was forwarded, or after which the client
   /// asked to resume.
   std::optional<std::uint64_t> last_event_id() const { return last_event_id_; }
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -34,6 +35,12 @@
     bool client_closed = false;  // before the response was complete
   };
 
+  /// Bytes of a response without end that a gateway may take; includes what the
+  /// sockets buffer.
+  static constexpr std::size_t kMaxBytesWithoutEnd = 24UL << 20;
+  /// The senders stop then, so that a failing test ends.
+  static constexpr std::size_t kMaxSent = 200UL << 20;
+
   gateway_test() {
     settings_.client_endpoint = http_endpoint{"127.0.0.1", 0};
     settings_.data_centre = data_centre_id("akl");
@@ -139,6 +146,66 @@
     };
   }
 
+  /// Sends the first bytes of a response, then the others again and again until
+  /// the client closes the connection.
+  handler SendWithoutEnd(std::string first,
+                         std::string repeated,
+                         milliseconds pause) {
+    return [=, this](http_request, response_writer& writer) -> awaitable<void> {
+      http_response head = MakeResponse(200, "");
+      co_await writer.Begin(std::move(head));
+      std::string part = first + repeated;
+      for (bool open = true; open && sent_without_end_ < kMaxSent;) {
+        sent_without_end_ += part.size();
+        open = co_await writer.Write(std::move(part));
+        part = repeated;
+        boost::asio::steady_timer timer(context_, pause);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+      }
+      writer.Abort();
+    };
+  }
+
+  /// Adds an upstream that answers each connection with a status line and
+  /// header bytes until the client closes it.
+  void AddUpstreamWithEndlessHead() {
+    using boost::asio::ip::tcp;
+    acceptor_.emplace(
+        context_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    boost::asio::co_spawn(context_, SendEndlessHead(), boost::asio::detached);
+    upstream_entry entry;
+    entry.id = upstream_id("i-endless");
+    entry.service = service_name("s");
+    entry.address =
+        "127.0.0.1:" + std::to_string(acceptor_->local_endpoint().port());
+    entry.data_centre = data_centre_id("akl");
+    entry.slots = 8;
+    entries_[entry.id] = entry;
+    // The next upstream counts as a remote one.
+    upstreams_.emplace_back(std::make_unique<upstream>());
+    gateway_->SetUpstreams(std::make_shared<const upstream_map>(entries_));
+  }
+
+  awaitable<void> SendEndlessHead() {
+    auto socket = co_await acceptor_->async_accept(boost::asio::use_awaitable);
+    std::string part = "HTTP/1.1 200 OK\r\n";
+    boost::system::error_code code;
+    while (!code && sent_without_end_ < kMaxSent) {
+      co_await boost::asio::async_write(
+          socket, boost::asio::buffer(part),
+          boost::asio::redirect_error(boost::asio::use_awaitable, code));
+      sent_without_end_ += part.size();
+      part = "X-Field: " + std::string(1000, 'x') + "\r\n";
+    }
+  }
+
+  /// Fills the retry budget.
+  void AllowRetries() {
+    for (int i = 0; i < 20; ++i) {
+      gateway_->RetryBudget(service_name("s")).CountRequest(MonotonicNow());
+    }
+  }
+
   static handler CloseConnection() {
     return [](http_request, response_writer& writer) -> awaitable<void> {
       writer.Abort();
@@ -174,6 +241,8 @@
   std::unique_ptr<gateway> gateway_;
   http_client client_{context_};
   http_endpoint gateway_endpoint_;
+  std::optional<boost::asio::ip::tcp::acceptor> acceptor_;
+  std::size_t sent_without_end_ = 0;
   std::vector<std::unique_ptr<upstream>> upstreams_;
   upstream_map entries_;
 };
@@ -302,6 +371,87 @@
   EXPECT_EQ(second.received.front().Field("Last-Event-Id"), "1");
 }
 
+// Guards against a stalled stream that never ends, because its upstream sends a
+// byte now and then: only whole events count as progress.
+TEST_F(gateway_test, Stream_BytesButNoEvents_ResumedElsewhere) {
+  Configure();
+  upstream& stalled =
+      AddUpstream(SendWithoutEnd("id: 1\ndata: a\n\n", "x", milliseconds(50)));
+  AddUpstream(Stream("id: 2\ndata: b\n\n", true));
+  AllowRetries();
+  const auto answer = Call(MakeRequest("/chat/1"));
+  ASSERT_TRUE(IsOk(answer));
+  EXPECT_EQ(ValueOf(answer).body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  EXPECT_TRUE(stalled.client_closed);
+}
+
+// Guards against cutting a stream that is slow but makes progress: it lasts
+// longer than the time after which one without events is resumed.
+TEST_F(gateway_test, Stream_SlowEvents_NotCut) {
+  Configure();
+  std::string expected;
+  AddUpstream([&](http_request, response_writer& writer) -> awaitable<void> {
+    http_response head = MakeResponse(200, "");
+    co_await writer.Begin(std::move(head));
+    for (int i = 1; i <= 9; ++i) {
+      std::string event = "id: " + std::to_string(i) + "\ndata: a\n\n";
+      expected += event;
+      co_await writer.Write(std::move(event));
+      boost::asio::steady_timer timer(context_, milliseconds(600));
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    co_await writer.End();
+  });
+  upstream& other = AddUpstream(Stream("id: 1\ndata: b\n\n", true));
+  AllowRetries();
+  const auto answer = Call(MakeRequest("/chat/1"));
+  ASSERT_TRUE(IsOk(answer));
+  EXPECT_EQ(ValueOf(answer).body, expected);
+  EXPECT_TRUE(other.received.empty());
+}
+
+// Guards against a gateway that runs out of memory for a body without end.
+TEST_F(gateway_test, Idempotent_BodyWithoutEnd_RetriedElsewhere) {
+  Configure();
+  upstream& endless = AddUpstream(
+      SendWithoutEnd("", std::string(64UL << 10, 'x'), milliseconds(0)));
+  AddUpstream(RespondWith(MakeResponse(200, "own")));
+  AllowRetries();
+  const auto answer = Call(MakeRequest("/look/1"));
+  ASSERT_TRUE(IsOk(answer));
+  EXPECT_EQ(ValueOf(answer).body, "own");
+  EXPECT_TRUE(endless.client_closed);
+  EXPECT_LE(sent_without_end_, kMaxBytesWithoutEnd);
+}
+
+// Guards against the same with an event that never ends.
+TEST_F(gateway_test, Stream_EventWithoutEnd_ResumedElsewhere) {
+  Configure();
+  upstream& endless = AddUpstream(
+      SendWithoutEnd("id: 1\ndata: a\n\ndata: ", std::string(64UL << 10, 'x'),
+                     milliseconds(0)));
+  AddUpstream(Stream("id: 2\ndata: b\n\n", true));
+  AllowRetries();
+  const auto answer = Call(MakeRequest("/chat/1"));
+  ASSERT_TRUE(IsOk(answer));
+  EXPECT_EQ(ValueOf(answer).body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  EXPECT_TRUE(endless.client_closed);
+  EXPECT_LE(sent_without_end_, kMaxBytesWithoutEnd);
+}
+
+// Guards against the same with a head that never ends. Nothing of a
+// non-idempotent request may be repeated then, and the client learns at once
+// that its outcome is unknown.
+TEST_F(gateway_test, NonIdempotent_HeadWithoutEnd_502) {
+  Configure();
+  AddUpstreamWithEndlessHead();
+  upstream& other = AddUpstream(RespondWith(MakeResponse(200, "ok")));
+  AllowRetries();
+  EXPECT_EQ(CallStatus(MakeRequest("/book/1")), 502);
+  EXPECT_TRUE(other.received.empty());
+  EXPECT_LE(sent_without_end_, kMaxBytesWithoutEnd);
+}
+
 // Guards against a truncated stream that appears complete to the client.
 TEST_F(gateway_test, Stream_BrokenAndNoOtherUpstream_Truncated) {
   Configure();
