Report loads every 0.2 s where many gateways share many replicas

Change: in data centres with more than 24 replicas a report comes every 0.2 s instead of 0.1 s, the replica is read as often as its subscribers ask, and subscriptions are renewed every 0.8 s.

--- a/include/fireflyslip/placement/monitored_upstreams.h
+++ b/include/fireflyslip/placement/monitored_upstreams.h
@@ -6,6 +6,7 @@
 
 #include "fireflyslip/catalog/upstream_registry.h"
 #include "fireflyslip/core/ids.h"
+#include "fireflyslip/core/time.h"
 
 namespace fireflyslip {
 
@@ -32,6 +33,16 @@
                              const data_centre_id& data_centre,
                              const monitoring_policy& policy);
 
+/// \brief Interval of the load reports of monitored replicas.
+///
+/// Load pattern: in a small data centre each gateway sends a large part of the
+/// requests, and its choice between two reports matters. Where many gateways
+/// share many replicas, each sends a replica less than one request between two
+/// reports, and twice the interval halves the messages.
+duration ReportInterval(const upstream_map& upstreams,
+                        const data_centre_id& gateway_data_centre,
+                        const data_centre_id& replica_data_centre);
+
 /// \brief Estimates the number of gateways from the numbers of gateways that
 /// follow the monitored replicas.
 ///
--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -106,7 +106,7 @@
       for (const platform::store_object& object : ValueOf(listed).objects) {
         auto entry = platform::DecodeUpstream(object.name, object.content);
         if (entry) {
-          upstreams.emplace(entry->id, *std::move(entry));
+          upstreams.emplace(entry->id, *entry);
         }
       }
     }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -25,11 +25,7 @@
 constexpr seconds kPruneInterval{2};
 /// Stagers send reports for three seconds after the last subscription. Each
 /// subscription also measures the round-trip time to the stager.
-constexpr milliseconds kSubscribeInterval{500};
-/// Reports from other data centres cross the links between regions, which have
-/// little bandwidth, and few requests go there. Two of them may be lost before
-/// the load counts as unknown.
-constexpr milliseconds kRemoteReportInterval{300};
+constexpr milliseconds kSubscribeInterval{800};
 /// Fraction of the revocation timeout after which keys are stale; the rest
 /// allows for the clock resolution.
 constexpr double kKeyLifetimeFraction = 0.96;
@@ -271,13 +267,8 @@
   if (!monitored_ || !report_socket_.is_open()) {
     return;
   }
-  load_subscription subscription{settings_.vm, ClockMicroseconds(),
-                                 duration(0)};
-  const std::vector<std::uint8_t> local_subscription =
-      EncodeLoadMessage(subscription);
-  subscription.interval = kRemoteReportInterval;
-  const std::vector<std::uint8_t> remote_subscription =
-      EncodeLoadMessage(subscription);
+  const std::uint64_t now_us = ClockMicroseconds();
+  std::map<data_centre_id, std::vector<std::uint8_t>> subscriptions;
   for (const auto& [id, entry] : *monitored_) {
     const auto endpoint = ParseHttpEndpoint(entry.address);
     if (!entry.has_engine || !endpoint) {
@@ -287,13 +278,17 @@
     const udp::endpoint stager_endpoint(
         boost::asio::ip::make_address(endpoint->address, code),
         settings_.first_internal_port);
+    std::vector<std::uint8_t>& subscription = subscriptions[entry.data_centre];
+    if (subscription.empty()) {
+      subscription = EncodeLoadMessage(
+          load_subscription{settings_.vm, now_us,
+                            ReportInterval(*upstreams_, settings_.data_centre,
+                                           entry.data_centre)});
+    }
     if (!code) {
       // Errors are ignored: the next subscription replaces a lost one.
-      const bool is_local = entry.data_centre == settings_.data_centre;
-      report_socket_.send_to(
-          boost::asio::buffer(is_local ? local_subscription
-                                       : remote_subscription),
-          stager_endpoint, 0, code);
+      report_socket_.send_to(boost::asio::buffer(subscription), stager_endpoint,
+                             0, code);
     }
   }
 }
--- a/src/placement/monitored_upstreams.cc
+++ b/src/placement/monitored_upstreams.cc
@@ -74,6 +74,27 @@
   return selected;
 }
 
+duration ReportInterval(const upstream_map& upstreams,
+                        const data_centre_id& gateway_data_centre,
+                        const data_centre_id& replica_data_centre) {
+  constexpr milliseconds kLocalInterval{100};
+  constexpr milliseconds kLargeLocalInterval{200};
+  constexpr std::ptrdiff_t kLargeDataCentre = 24;  // replicas
+  // Reports from other data centres cross the links between regions, which have
+  // little bandwidth, and few requests go there. Two of them may be lost before
+  // the load counts as unknown.
+  constexpr milliseconds kRemoteInterval{300};
+  if (replica_data_centre != gateway_data_centre) {
+    return kRemoteInterval;
+  }
+  const auto local =
+      std::count_if(upstreams.begin(), upstreams.end(), [&](const auto& item) {
+        return item.second.has_engine &&
+               item.second.data_centre == gateway_data_centre;
+      });
+  return local > kLargeDataCentre ? kLargeLocalInterval : kLocalInterval;
+}
+
 void gateway_count_estimate::SetUpstreams(const upstream_map& all,
                                           const upstream_map& monitored) {
   std::map<data_centre_id, replica_group> groups;
--- a/src/stager/load_publisher.cc
+++ b/src/stager/load_publisher.cc
@@ -1,5 +1,6 @@
 #include "stager/load_publisher.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -17,9 +18,10 @@
 using boost::asio::awaitable;
 using boost::asio::ip::udp;
 
-/// A full batch completes about 8 requests a second, so a report lags by at
-/// most one request.
-constexpr milliseconds kReportInterval{100};
+/// Bounds of the time between two reads of the load. A full batch completes
+/// about 8 requests a second, so a report lags by few requests.
+constexpr milliseconds kMinPollInterval{100};
+constexpr milliseconds kMaxPollInterval{300};
 /// Gateways renew their subscriptions at least once a second.
 constexpr seconds kSubscriptionLifetime{3};
 /// A replica responds to its own VM within a millisecond, even under full load.
@@ -103,13 +105,21 @@
     }
     on_load_(load);
     Send(load, false);
-    timer.expires_after(kReportInterval);
+    timer.expires_after(PollInterval());
     boost::system::error_code ignored;
     co_await timer.async_wait(
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
   }
 }
 
+duration load_publisher::PollInterval() const {
+  duration shortest = kMaxPollInterval;
+  for (const auto& [vm, subscriber] : subscribers_) {
+    shortest = std::min(shortest, subscriber.interval);
+  }
+  return std::max<duration>(shortest, kMinPollInterval);
+}
+
 void load_publisher::SetLoadPending(bool load_pending) {
   if (load_pending_ != load_pending) {
     load_pending_ = load_pending;
@@ -139,7 +149,7 @@
       continue;
     }
     // Half of the polling interval tolerates timer inaccuracy.
-    subscriber.next_report = now + subscriber.interval - kReportInterval / 2;
+    subscriber.next_report = now + subscriber.interval - PollInterval() / 2;
     report.echo_us = subscriber.sent_us;
     report.echo_delay_us =
         static_cast<std::uint64_t>((now - subscriber.subscribed_at).count());
--- a/src/stager/load_publisher.h
+++ b/src/stager/load_publisher.h
@@ -38,6 +38,9 @@
  private:
   boost::asio::awaitable<void> ReceiveSubscriptions();
   boost::asio::awaitable<void> Poll();
+  /// \brief Time until the next read of the load: the shortest interval of the
+  /// subscribers.
+  duration PollInterval() const;
   /// \param immediately whether to report to all subscribers, regardless of
   /// their intervals.
   void Send(const upstream_load& load, bool immediately);
--- a/tests/placement/monitored_upstreams_test.cc
+++ b/tests/placement/monitored_upstreams_test.cc
@@ -99,6 +99,22 @@
   EXPECT_TRUE(Select("g", "a").contains(plain.id));
 }
 
+// Guards against messages of a large fleet that cost more than the requests,
+// and against old reports in a small one.
+TEST_F(monitored_upstreams_test, ReportInterval_LargerDataCentre_Longer) {
+  AddReplicas("a", 6);
+  AddReplicas("b", 40);
+  const auto interval = [&](const std::string& gateway,
+                            const std::string& replica) {
+    return ReportInterval(upstreams_, data_centre_id(gateway),
+                          data_centre_id(replica));
+  };
+  EXPECT_LT(interval("a", "a"), interval("b", "b"));
+  EXPECT_LT(interval("b", "b"), interval("a", "b"));
+  // Two reports may be lost before the load counts as unknown.
+  EXPECT_LT(2 * interval("a", "b"), placement_policy{}.report_lifetime);
+}
+
 // Guards against gateways that together retry more than the allowance, because
 // each one counts too few others.
 TEST_F(monitored_upstreams_test, GatewayCount_UnevenDataCentres_NearTruth) {
