--- a/src/staging/weight_stager.cc
+++ b/src/staging/weight_stager.cc
@@ -223,10 +223,14 @@
 }
 
 bool weight_stager::HasCapacityFor(const staging_source& source) const {
+  if (fetch_window_ == 1) {  // the link is congested
+    return active_fetches_ == 0;
+  }
   // Transfers from the origin are limited apart: all others may be waiting for
   // peers that in turn wait for this agent.
   return source.kind == source_kind::kOrigin
-             ? active_origin_fetches_ < policy_.max_origin_fetches
+             ? active_origin_fetches_ <
+                   std::min(policy_.max_origin_fetches, fetch_window_)
              : active_fetches_ - active_origin_fetches_ < fetch_window_;
 }
 
