Confirm keys only for configurations whose content was read

Found while reading the change: a gateway that heard of a configuration from a relay, could not read its content and then watched the store would have counted its keys as current, since the watch starts after that configuration. And a watch of the store that was still in progress when a relay took over could bring a removed upstream back with an older change.

--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -204,6 +204,8 @@
       }
     }
   }
+  // A watch of the store that is still in progress may return older changes.
+  upstream_watch_.AdvanceRevision(*known_revisions_.upstreams);
   known_revisions_.versions =
       std::max(*known_revisions_.versions, answer.versions->revision);
   for (const auto& [model, version] : answer.versions->versions) {
@@ -254,7 +256,12 @@
                                   std::uint64_t revision) {
     known_revisions_.configuration =
         std::max(*known_revisions_.configuration, revision);
-    ConfirmKeys(*freshness.current_as_of());
+    // The store confirms the newest version, whose content may not have been
+    // read if a relay announced it.
+    const std::uint64_t version = deployment_ ? deployment_->version : 0;
+    pending_confirmations_.Announce(std::max(version, announced_configuration_),
+                                    *freshness.current_as_of());
+    ConfirmAnnounced();
   };
   return callbacks;
 }
--- a/src/node/kind_watch.cc
+++ b/src/node/kind_watch.cc
@@ -74,6 +74,9 @@
     co_return false;
   }
   RecordResponse();
+  if (ValueOf(listed).revision < revision_) {
+    co_return true;  // later changes are known from elsewhere
+  }
   handlers_.on_list(ValueOf(listed));
   AdvanceRevision(ValueOf(listed).revision);
   freshness_.ConfirmRead(sent);
@@ -95,6 +98,9 @@
   }
   RecordResponse();
   const platform::store_changes& changes = ValueOf(answer);
+  if (changes.revision < revision_) {
+    co_return;  // later changes are known from elsewhere
+  }
   for (const platform::store_change& change : changes.changes) {
     handlers_.on_change(change);
   }
--- a/tests/catalog/pending_confirmations_test.cc
+++ b/tests/catalog/pending_confirmations_test.cc
@@ -27,6 +27,16 @@
   EXPECT_EQ(pending_.TakeConfirmed(5), At(100));
 }
 
+// Guards against keys that count as current because the store confirms a
+// version whose content this process has not read.
+TEST_F(pending_confirmations_test, StoreConfirms_ContentNotRead_NotConfirmed) {
+  constexpr std::uint64_t kInForce = 3;
+  pending_.Announce(4, At(100));  // by a relay
+  pending_.Announce(std::max<std::uint64_t>(kInForce, 4), At(2000));
+  EXPECT_EQ(pending_.TakeConfirmed(kInForce), std::nullopt);
+  EXPECT_EQ(pending_.TakeConfirmed(4), At(2000));
+}
+
 // Guards against keys that expire while configurations come in quick
 // succession, so that all requests are refused (trouble-1 of the grown third
 // site, 30 to 34 s): every 0.33 s a version, every 0.7 s a read of the newest.
