--- a/tests/node/node_settings_test.cc
+++ b/tests/node/node_settings_test.cc
@@ -24,11 +24,14 @@
 TEST_F(node_settings_test, Parse_Gateway_AllFields) {
   const auto settings =
       Parse(Text(R"(, "callers": "10.0.0.1:1", "ready": "10.0.0.1:2",
-                     "key_revocation_ms": 5000, "link_mbps": 9.4)"),
+                     "key_revocation_ms": 5000, "upstream_drain_ms": 4000,
+                     "link_mbps": 9.4)"),
             node_role::kGateway);
   ASSERT_TRUE(IsOk(settings)) << ErrorOf(settings).detail;
   EXPECT_EQ(ValueOf(settings).client_endpoint->port, 1);
   EXPECT_EQ(ValueOf(settings).ChunkEndpoint().port, 7701);
+  EXPECT_EQ(ValueOf(settings).RelayPort(), 7703);
+  EXPECT_EQ(ValueOf(settings).upstream_drain_timeout, milliseconds(4000));
   EXPECT_EQ(ValueOf(settings).RegionOf(data_centre_id("akl-a")),
             region_id("akl"));
   EXPECT_EQ(ValueOf(settings).RegionOf(data_centre_id("x")), region_id("x"));
