--- a/include/fireflyslip/catalog/upstream_history.h
+++ b/include/fireflyslip/catalog/upstream_history.h
@@ -54,8 +54,8 @@
   /// \brief The entries that have not been removed.
   std::map<upstream_id, upstream_entry> Present() const;
 
-  /// \brief Whether `Since(revision)` contains anything new.
-  bool HasNews(std::uint64_t revision) const {
+  /// \brief Whether `Since(revision)` contains any change.
+  bool HasChangesAfter(std::uint64_t revision) const {
     return revision_ > 0 &&
            (revision < complete_since_ || (last_change_ > revision));
   }
--- a/src/node/catalog_relay.cc
+++ b/src/node/catalog_relay.cc
@@ -216,7 +216,7 @@
     co_return;
   }
   Activate();
-  co_await WaitForNews(*query, received + query->hold);
+  co_await WaitForChanges(*query, received + query->hold);
   response.body = EncodeRelayAnswer(Answer(*query, received));
   co_await writer.Send(std::move(response));
 }
@@ -231,15 +231,15 @@
   co_await writer.Send(std::move(response));
 }
 
-awaitable<void> catalog_relay::WaitForNews(const relay_query& query,
-                                           time_point deadline) {
+awaitable<void> catalog_relay::WaitForChanges(const relay_query& query,
+                                              time_point deadline) {
   const bool was_fresh = FreshUntil(MonotonicNow()).has_value();
   for (;;) {
     const time_point now = MonotonicNow();
     const std::optional<time_point> fresh_until = FreshUntil(now);
     // A poll that arrives while the view is stale is held until it is current;
     // one that is held is answered when the view becomes stale.
-    if (now >= deadline || (fresh_until && HasNews(query)) ||
+    if (now >= deadline || (fresh_until && HasChangesAfter(query)) ||
         fresh_until.has_value() != was_fresh) {
       co_return;
     }
@@ -280,10 +280,10 @@
   }
 }
 
-bool catalog_relay::HasNews(const relay_query& query) const {
+bool catalog_relay::HasChangesAfter(const relay_query& query) const {
   return (query.configuration &&
           configuration_revision_ > *query.configuration) ||
-         (query.upstreams && upstreams_.HasNews(*query.upstreams)) ||
+         (query.upstreams && upstreams_.HasChangesAfter(*query.upstreams)) ||
          (query.versions && versions_revision_ > *query.versions);
 }
 
--- a/src/node/catalog_relay.h
+++ b/src/node/catalog_relay.h
@@ -55,14 +55,14 @@
   boost::asio::awaitable<void> Serve(http_request request,
                                      response_writer& writer);
   boost::asio::awaitable<void> ServeConfiguration(response_writer& writer);
-  boost::asio::awaitable<void> WaitForNews(const relay_query& query,
-                                           time_point deadline);
+  boost::asio::awaitable<void> WaitForChanges(const relay_query& query,
+                                              time_point deadline);
   void Activate();
   void StopIfIdle();
   void WakeWaiters();
   void SetVersion(const platform::store_object& object);
   void SetConfiguration(const platform::store_object& object);
-  bool HasNews(const relay_query& query) const;
+  bool HasChangesAfter(const relay_query& query) const;
   /// \brief Time until which the view is current; empty if it is not.
   std::optional<time_point> FreshUntil(time_point now) const;
   relay_answer Answer(const relay_query& query, time_point received) const;
--- a/src/node/relay_message.h
+++ b/src/node/relay_message.h
@@ -21,7 +21,7 @@
   std::optional<std::uint64_t> configuration;
   std::optional<std::uint64_t> upstreams;
   std::optional<std::uint64_t> versions;
-  duration hold = {};  ///< Time to wait for news.
+  duration hold = {};  ///< Time to wait for changes.
 
   auto operator<=>(const relay_query&) const = default;
 };
--- a/tests/catalog/upstream_history_test.cc
+++ b/tests/catalog/upstream_history_test.cc
@@ -24,8 +24,8 @@
 };
 
 // Guards against presenting the empty view of a relay that has just started.
-TEST_F(upstream_history_test, NothingListed_AnyRevision_NoNews) {
-  EXPECT_FALSE(history_.HasNews(0));
+TEST_F(upstream_history_test, NothingListed_AnyRevision_NoChanges) {
+  EXPECT_FALSE(history_.HasChangesAfter(0));
   EXPECT_EQ(history_.revision(), 0U);
 }
 
@@ -46,15 +46,15 @@
   const upstream_changes last = history_.Since(12);
   EXPECT_FALSE(last.complete);
   EXPECT_EQ(last.changes, std::vector<upstream_change>{Change("c")});
-  EXPECT_FALSE(history_.HasNews(15));
+  EXPECT_FALSE(history_.HasChangesAfter(15));
 }
 
 // Guards against waking all processes for heartbeats, which change fields that
 // nobody uses.
-TEST_F(upstream_history_test, Apply_EqualEntry_NoNews) {
+TEST_F(upstream_history_test, Apply_EqualEntry_NoChanges) {
   history_.Replace({Entry("a")}, 10);
   history_.Apply({Change("a")}, 11);
-  EXPECT_FALSE(history_.HasNews(10));
+  EXPECT_FALSE(history_.HasChangesAfter(10));
   EXPECT_EQ(history_.revision(), 11U);
 }
 
