Do not take a pause of the gateway for an outage of the platform

Callers were served by superseded weights up to 3.7 s after the rollout time. A gateway counted the time since the platform's last response as silence of the platform, also when the gateway itself had been paused. After a pause of 4 s it thus assumed an outage, during which and for 2.2 s after which old weights stay in use: a permission that had run out while the process did not run.

Only silence that a running process observes counts now. The dispatcher observes on every event; a gap of more than 1 s between two of them is a pause, and the gateway sends a tick every 0.5 s. The beginning and the end of an assumed outage are logged.

The test Submit_ResumedFromPause_SupersededVersionNotChosen fails without the change.

--- a/include/fireflyslip/catalog/version_targets.h
+++ b/include/fireflyslip/catalog/version_targets.h
@@ -33,9 +33,23 @@
                bool at_start,
                time_point now);
 
+  /// \brief Records that this process is running. It must be called at least
+  /// once in `kMaxObservationGap` while the process runs: a longer gap is a
+  /// pause of the process, which says nothing about the platform.
+  void Observe(time_point now);
+
   /// \brief Records that the platform responded.
   void RecordPlatformResponse(time_point now);
 
+  /// \brief Whether old versions stay in use because the platform does not
+  /// respond, or has not until shortly before.
+  bool IsOutage(time_point now) const {
+    return now < grace_until_ ||
+           (last_response_ && now - *last_response_ > kOutage);
+  }
+
+  static constexpr milliseconds kMaxObservationGap{1000};
+
   /// \brief Newest published version; 0 if none is known.
   std::uint64_t Newest(const model_name& model) const;
 
@@ -57,13 +71,10 @@
   /// Time after an outage for which old versions stay in use.
   static constexpr milliseconds kOutageGrace{2200};
 
-  bool IsOutage(time_point now) const {
-    return now < grace_until_ ||
-           (last_response_ && now - *last_response_ > kOutage);
-  }
-
   duration rollout_;
   duration assumed_age_;
+  std::optional<time_point> last_observed_;
+  // Postponed by pauses of the process, so that they do not count as silence.
   std::optional<time_point> last_response_;
   time_point grace_until_;
   std::map<model_name, std::vector<published_version>> models_;  // by version
--- a/include/fireflyslip/placement/dispatcher.h
+++ b/include/fireflyslip/placement/dispatcher.h
@@ -40,6 +40,10 @@
 /// reported load, each gateway compares only a small random sample of the
 /// replicas (power of d choices). For background requests it uses only its
 /// share of the free slots in a report.
+///
+/// Its owner sends an event at least once in
+/// `version_targets::kMaxObservationGap`; a longer gap is taken as a pause of
+/// the process.
 class dispatcher {
  public:
   /// \brief A request needs an upstream. Its id must not be in the dispatcher.
@@ -143,6 +147,9 @@
   std::size_t waiting() const { return waiting_.size(); }
   /// \brief Gateways that share the replicas, by the latest report; at least 1.
   std::size_t gateways() const { return gateways_; }
+  /// \brief Whether superseded versions stay in use, because the platform does
+  /// not respond.
+  bool IsPlatformOutage(time_point now) const { return targets_.IsOutage(now); }
 
  private:
   enum class queue_class { kResubmittedOnTime, kOnTime, kLate };
--- a/src/catalog/version_targets.cc
+++ b/src/catalog/version_targets.cc
@@ -17,6 +17,14 @@
   versions.push_back({version, at_start ? now - assumed_age_ : now});
 }
 
+void version_targets::Observe(time_point now) {
+  if (last_response_ && last_observed_ &&
+      now - *last_observed_ > kMaxObservationGap) {
+    *last_response_ += now - *last_observed_;
+  }
+  last_observed_ = now;
+}
+
 void version_targets::RecordPlatformResponse(time_point now) {
   if (last_response_ && now - *last_response_ > kOutage) {
     grace_until_ = now + kOutageGrace;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -26,6 +26,9 @@
 /// Stagers send reports for three seconds after the last subscription. Each
 /// subscription also measures the round-trip time to the stager.
 constexpr milliseconds kSubscribeInterval{800};
+/// Interval of events without which the dispatcher assumes a pause.
+constexpr duration kObservationInterval =
+    version_targets::kMaxObservationGap / 2;
 /// Fraction of the revocation timeout after which keys are stale; the rest
 /// allows for the clock resolution.
 constexpr double kKeyLifetimeFraction = 0.96;
@@ -104,6 +107,7 @@
       kPruneInterval, [this] { upstream_client_.PruneIdleConnections(); });
   timers_.SubscribePeriodic(kSubscribeInterval,
                             [this] { SubscribeToReports(); });
+  timers_.SubscribePeriodic(kObservationInterval, [this] { Observe(); });
 }
 
 gateway::~gateway() = default;
@@ -263,6 +267,16 @@
   }
 }
 
+void gateway::Observe() {
+  Handle(tick{});
+  const bool outage = dispatcher_.core().IsPlatformOutage(MonotonicNow());
+  if (outage != platform_outage_) {
+    platform_outage_ = outage;
+    LogLine(std::string("event=superseded_versions_") +
+            (outage ? "allowed reason=platform_outage" : "refused"));
+  }
+}
+
 void gateway::SubscribeToReports() {
   if (!monitored_ || !report_socket_.is_open()) {
     return;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -71,6 +71,8 @@
                                      response_writer& writer);
   boost::asio::awaitable<void> ReceiveReports();
   void SubscribeToReports();
+  /// \brief Lets the dispatcher observe that this process runs.
+  void Observe();
   void Apply(const dispatcher::action& action);
 
   boost::asio::io_context& context_;
@@ -92,6 +94,7 @@
   std::map<service_name, retry_window> retry_budgets_;
   std::optional<time_point> keys_current_as_of_;
   dispatch_id next_dispatch_ = 1;
+  bool platform_outage_ = false;  // already logged
 };
 
 }  // namespace fireflyslip
--- a/src/placement/dispatcher.cc
+++ b/src/placement/dispatcher.cc
@@ -27,6 +27,7 @@
 std::vector<dispatcher::action> dispatcher::Handle(const event& event,
                                                    time_point now) {
   now_ = now;
+  targets_.Observe(now);
   actions_.clear();
   std::visit([this](const auto& happened) { On(happened); }, event);
   return std::exchange(actions_, {});
--- a/tests/placement/dispatcher_test.cc
+++ b/tests/placement/dispatcher_test.cc
@@ -290,6 +290,35 @@
   EXPECT_EQ(started_[1], "new");
 }
 
+// Guards against a gateway that takes its own pause for an outage of the
+// platform, and then lets requests start on superseded weights.
+TEST_F(dispatcher_test, Submit_ResumedFromPause_SupersededVersionNotChosen) {
+  Add("old");
+  Handle(dispatcher::version_published{model_, 2, false});
+  for (int i = 0; i < 10; ++i) {
+    now_ += milliseconds(450);
+    Handle(dispatcher::platform_responded{});
+  }
+  now_ += seconds(4);  // the process does not run
+  Handle(Work(1));
+  EXPECT_TRUE(started_.empty());
+  Handle(dispatcher::platform_responded{});
+  EXPECT_TRUE(started_.empty());
+}
+
+// Guards against refusing all requests during an outage of the platform, when
+// replicas cannot get new weights.
+TEST_F(dispatcher_test, Submit_PlatformSilentWhileRunning_OldVersionChosen) {
+  Add("old");
+  Handle(dispatcher::version_published{model_, 2, false});
+  for (int i = 0; i < 20; ++i) {
+    now_ += milliseconds(450);
+    Handle(tick{});
+  }
+  Handle(Work(1));
+  EXPECT_EQ(started_[1], "old");
+}
+
 // Guards against resuming a stream on another version of the weights.
 TEST_F(dispatcher_test, Submit_VersionRequired_OnlyThatOne) {
   Add("a");
