Count the rollout time from the earliest possible publication

Callers were served by superseded weights later than the rollout time. A gateway counted that time from the moment at which it learned of the new version. Any delay of the notice extended the use of the old weights: a pause of the gateway or of its relay, a failed connection to the store, a slow start.

The class of fault: a deadline that is derived from the arrival of a message instead of the event that it reports. Keys and drained upstreams had their age counted already; versions had not.

change_age bounds how long ago a change can have been made: it is new if the watch was undisturbed, otherwise as old as the last confirmed view. Relays pass the bound and the age of their view on (their messages change), and gateways take the later of both bounds. A process that starts counts the assumed age from its start instead of from its first list. Watches of versions last 0.3 of the rollout time (2.4 s; 5 s at relays and 15 s at gateways before), because their length bounds how early old weights are given up after a delayed notice. The log line version_named has max_age_ms.

The parameter at_start of Publish became the time of publication; the test of it now states that time, with the same bound.

--- a/include/fireflyslip/catalog.h
+++ b/include/fireflyslip/catalog.h
@@ -4,6 +4,7 @@
 /// \brief Module catalog: a gateway's view of routes, workspaces, upstreams and
 /// published model versions, the age of that view and where it comes from.
 
+#include "fireflyslip/catalog/change_age.h"
 #include "fireflyslip/catalog/deployment.h"
 #include "fireflyslip/catalog/pending_confirmations.h"
 #include "fireflyslip/catalog/relay_selector.h"
--- a/include/fireflyslip/catalog/version_targets.h
+++ b/include/fireflyslip/catalog/version_targets.h
@@ -21,16 +21,13 @@
  public:
   /// \param rollout time within which replicas switch to a published version,
   /// minus the time for which a request may wait at a replica.
-  /// \param assumed_age assumed age of a version that had been published before
-  /// the process started.
-  version_targets(duration rollout, duration assumed_age)
-      : rollout_(rollout), assumed_age_(assumed_age) {}
+  explicit version_targets(duration rollout) : rollout_(rollout) {}
 
   /// \brief Adds a published version; ignored unless it is the newest.
-  /// \param at_start whether it was published before the process started.
+  /// \param published_at time before which it was not published.
   void Publish(const model_name& model,
                std::uint64_t version,
-               bool at_start,
+               time_point published_at,
                time_point now);
 
   /// \brief Records that this process is running. It must be called at least
@@ -72,7 +69,6 @@
   static constexpr milliseconds kOutageGrace{2200};
 
   duration rollout_;
-  duration assumed_age_;
   std::optional<time_point> last_observed_;
   // Postponed by pauses of the process, so that they do not count as silence.
   std::optional<time_point> last_response_;
--- a/include/fireflyslip/placement/dispatcher.h
+++ b/include/fireflyslip/placement/dispatcher.h
@@ -98,7 +98,7 @@
   struct version_published {
     model_name model;
     std::uint64_t version = 0;
-    bool at_start = false;  ///< Was published before the process started.
+    time_point published_at;  ///< Not before.
 
     bool operator==(const version_published&) const = default;
   };
--- a/src/catalog/version_targets.cc
+++ b/src/catalog/version_targets.cc
@@ -4,7 +4,7 @@
 
 void version_targets::Publish(const model_name& model,
                               std::uint64_t version,
-                              bool at_start,
+                              time_point published_at,
                               time_point now) {
   std::vector<published_version>& versions = models_[model];
   if (!versions.empty() && versions.back().version >= version) {
@@ -14,7 +14,7 @@
   while (versions.size() > 1 && versions[1].since + rollout_ <= now) {
     versions.erase(versions.begin());
   }
-  versions.push_back({version, at_start ? now - assumed_age_ : now});
+  versions.push_back({version, published_at});
 }
 
 void version_targets::Observe(time_point now) {
--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -23,11 +23,10 @@
 
 /// Durations of the watches. The age of the key list must stay well below the
 /// time after which a revoked key must not be accepted. Changes of upstreams
-/// and versions are reported at once; only an unresponsive connection is
-/// detected at the end of a watch.
+/// are reported at once; only an unresponsive connection is detected at the end
+/// of a watch.
 constexpr milliseconds kConfigurationWatch{2400};
 constexpr seconds kUpstreamWatch{8};
-constexpr seconds kVersionWatch{15};
 /// Changes of upstreams arrive in bursts; a draining upstream must receive no
 /// new requests after two seconds.
 constexpr milliseconds kUpstreamBatchDelay{300};
@@ -80,11 +79,14 @@
                       seed + 2),
       version_watch_(context,
                      settings.platform,
-                     {platform::kVersionKind, kVersionWatch, duration(0),
-                      kMaxWatchBackoff},
+                     {platform::kVersionKind, settings.VersionWatch(),
+                      duration(0), kMaxWatchBackoff},
                      VersionHandlers(),
                      seed + 3),
-      relay_(context, settings.RelayPort(), {}, RelayHandlers(), seed + 4) {
+      relay_(context, settings.RelayPort(), {}, RelayHandlers(), seed + 4),
+      version_age_(MonotonicNow(), settings.InitialVersionAge()) {
+  timers_.SubscribePeriodic(change_age::kMaxObservationGap / 2,
+                            [this] { version_age_.Observe(MonotonicNow()); });
   known_revisions_ = {0, 0, 0, {}};
 }
 
@@ -158,6 +160,7 @@
 
 void catalog_feed::SetFollowingStore(bool following) {
   if (following) {
+    version_age_.RecordInterruption(MonotonicNow());
     configuration_watch_.AdvanceRevision(*known_revisions_.configuration);
     upstream_watch_.AdvanceRevision(*known_revisions_.upstreams);
     version_watch_.AdvanceRevision(*known_revisions_.versions);
@@ -208,10 +211,16 @@
   upstream_watch_.AdvanceRevision(*known_revisions_.upstreams);
   known_revisions_.versions =
       std::max(*known_revisions_.versions, answer.versions->revision);
-  for (const auto& [model, version] : answer.versions->versions) {
-    SetTargetVersion(model, version, !versions_listed_);
+  // The answer may have been delayed by as much as the poll took.
+  const time_point sent_by_relay = query_sent + answer.held;
+  for (const auto& [model, published] : answer.versions->versions) {
+    const time_point published_at = sent_by_relay - published.age;
+    SetTargetVersion(
+        model, published.version,
+        std::max(published_at,
+                 version_age_.current_as_of().value_or(published_at)));
   }
-  versions_listed_ = true;
+  version_age_.ConfirmCurrent(sent_by_relay - answer.versions->age);
 
   known_revisions_.configuration =
       std::max(*known_revisions_.configuration, answer.configuration->revision);
@@ -328,17 +337,20 @@
   callbacks.on_response = [](duration) {};
   callbacks.on_list = [this](const platform::store_listing& listing) {
     for (const platform::store_object& object : listing.objects) {
-      ApplyTargetVersion(object, !versions_listed_);
+      ApplyTargetVersion(object);
     }
-    versions_listed_ = true;
   };
   callbacks.on_change = [this](const platform::store_change& change) {
     if (!change.removed) {
-      ApplyTargetVersion(change.object, false);
+      ApplyTargetVersion(change.object);
     }
   };
-  callbacks.on_confirmed = [this](const watch_freshness&,
+  callbacks.on_failure = [this] {
+    version_age_.RecordInterruption(MonotonicNow());
+  };
+  callbacks.on_confirmed = [this](const watch_freshness& freshness,
                                   std::uint64_t revision) {
+    version_age_.ConfirmCurrent(*freshness.current_as_of());
     known_revisions_.versions = std::max(*known_revisions_.versions, revision);
   };
   return callbacks;
@@ -371,27 +383,28 @@
   ConfirmAnnounced();
 }
 
-void catalog_feed::ApplyTargetVersion(const platform::store_object& object,
-                                      bool at_start) {
+void catalog_feed::ApplyTargetVersion(const platform::store_object& object) {
   const auto target = platform::DecodeTargetVersion(object.content);
   if (!target) {
     LogLine("event=version_unreadable name=" + object.name);
     return;
   }
-  SetTargetVersion(target->model, target->version, at_start);
+  SetTargetVersion(target->model, target->version,
+                   version_age_.EarliestChange(MonotonicNow()));
 }
 
 void catalog_feed::SetTargetVersion(const model_name& model,
                                     std::uint64_t version,
-                                    bool at_start) {
+                                    time_point published_at) {
   std::uint64_t& known = target_versions_[model];
   if (version <= known) {
     return;
   }
   known = version;
-  LogLine("event=version_named model=" + model.value() + " version=" +
-          std::to_string(version) + " at_start=" + (at_start ? "1" : "0"));
-  handlers_.on_target_version(model, version, at_start);
+  LogLine("event=version_named model=" + model.value() +
+          " version=" + std::to_string(version) + " max_age_ms=" +
+          std::to_string((MonotonicNow() - published_at).count() / 1000));
+  handlers_.on_target_version(model, version, published_at);
 }
 
 void catalog_feed::HandleUpstreams(const upstream_registry::event& event) {
--- a/src/gateway/catalog_feed.h
+++ b/src/gateway/catalog_feed.h
@@ -26,9 +26,9 @@
   struct handlers {
     std::function<void(std::shared_ptr<const deployment>)> on_deployment;
     std::function<void(std::shared_ptr<const upstream_map>)> on_upstreams;
-    /// `at_start` is set for versions of the first listing, which may have been
-    /// published before this process started.
-    std::function<void(model_name, std::uint64_t version, bool at_start)>
+    /// The version was not published before `published_at`.
+    std::function<
+        void(model_name, std::uint64_t version, time_point published_at)>
         on_target_version;
     /// All key revocations up to this time are known.
     std::function<void(time_point)> on_keys_confirmed;
@@ -65,14 +65,14 @@
   void ApplyConfigurationObject(const platform::store_object& object);
   void ApplyConfiguration(const nlohmann::json& content);
   void ApplyUpstream(const upstream_change& change, bool unreadable);
-  void ApplyTargetVersion(const platform::store_object& object, bool at_start);
+  void ApplyTargetVersion(const platform::store_object& object);
   void ConfirmKeys(time_point current_as_of);
   /// \brief Confirms the keys as of the announcements that the configuration in
   /// force covers.
   void ConfirmAnnounced();
   void SetTargetVersion(const model_name& model,
                         std::uint64_t version,
-                        bool at_start);
+                        time_point published_at);
   void HandleUpstreams(const upstream_registry::event& event);
 
   boost::asio::io_context& context_;
@@ -94,7 +94,7 @@
   bool reading_configuration_ = false;
   std::map<model_name, std::uint64_t> target_versions_;
   bool upstreams_listed_ = false;
-  bool versions_listed_ = false;
+  change_age version_age_;
   std::set<upstream_id> malformed_upstreams_;  // already logged
   std::optional<time_point> keys_current_as_of_;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -41,9 +41,6 @@
 /// superseded version; the rest is for the notification of a new version and
 /// for the latency to a replica.
 constexpr double kRolloutFraction = 0.95;
-/// Fraction of the rollout timeout that is assumed to have elapsed for a
-/// version published before this process started.
-constexpr double kElapsedRolloutFraction = 0.55;
 constexpr std::size_t kMaxClientConnections = 3000;
 
 duration Scale(duration value, double factor) {
@@ -75,11 +72,9 @@
 dispatcher MakeDispatcher(const node_settings& settings, std::uint64_t seed) {
   placement_policy policy;
   policy.data_centre = settings.data_centre;
-  return {
-      std::move(policy),
-      version_targets(Scale(settings.rollout_timeout, kRolloutFraction),
-                      Scale(settings.rollout_timeout, kElapsedRolloutFraction)),
-      random_source(seed)};
+  return {std::move(policy),
+          version_targets(Scale(settings.rollout_timeout, kRolloutFraction)),
+          random_source(seed)};
 }
 
 }  // namespace
@@ -169,8 +164,8 @@
 
 void gateway::SetTargetVersion(const model_name& model,
                                std::uint64_t version,
-                               bool at_start) {
-  Handle(dispatcher::version_published{model, version, at_start});
+                               time_point published_at) {
+  Handle(dispatcher::version_published{model, version, published_at});
 }
 
 void gateway::ConfirmKeys(time_point current_as_of) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -41,7 +41,7 @@
   void SetUpstreams(std::shared_ptr<const upstream_map> upstreams);
   void SetTargetVersion(const model_name& model,
                         std::uint64_t version,
-                        bool at_start);
+                        time_point published_at);
   void ConfirmKeys(time_point current_as_of);
 
   /// \brief Starts draining: connections are closed after their next response.
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -110,9 +110,10 @@
           });
         };
     callbacks.on_target_version = [this](model_name model,
-                                         std::uint64_t version, bool at_start) {
-      traffic_.Post([this, model = std::move(model), version, at_start] {
-        traffic_gateway_->SetTargetVersion(model, version, at_start);
+                                         std::uint64_t version,
+                                         time_point published_at) {
+      traffic_.Post([this, model = std::move(model), version, published_at] {
+        traffic_gateway_->SetTargetVersion(model, version, published_at);
       });
     };
     callbacks.on_keys_confirmed = [this](time_point current_as_of) {
--- a/src/node/catalog_relay.cc
+++ b/src/node/catalog_relay.cc
@@ -26,8 +26,6 @@
 /// returns a change proves only that the state was current when it was sent.
 /// With the hold time of a poll it must be below the key revocation timeout.
 constexpr double kConfigurationWatchFraction = 0.34;
-/// Versions are published rarely, and loading one takes seconds.
-constexpr seconds kVersionWatch{5};
 /// The same for the delay between two watches; changes of upstreams arrive in
 /// bursts.
 constexpr double kUpstreamBatchFraction = 0.15;
@@ -52,7 +50,7 @@
       upstreams(Scale(settings.upstream_drain_timeout, kUpstreamWatchFraction)),
       upstream_batch(
           Scale(settings.upstream_drain_timeout, kUpstreamBatchFraction)),
-      versions(kVersionWatch) {}
+      versions(settings.VersionWatch()) {}
 
 catalog_relay::catalog_relay(boost::asio::io_context& context,
                              const node_settings& settings,
@@ -82,7 +80,10 @@
                      settings.platform,
                      {platform::kVersionKind, durations_.versions, duration(0)},
                      VersionHandlers(),
-                     seed + 3) {
+                     seed + 3),
+      version_age_(MonotonicNow(), settings.InitialVersionAge()) {
+  timers_.SubscribePeriodic(change_age::kMaxObservationGap / 2,
+                            [this] { version_age_.Observe(MonotonicNow()); });
   timers_.SubscribePeriodic(kIdleCheckInterval, [this] { StopIfIdle(); });
 }
 
@@ -182,8 +183,12 @@
       SetVersion(change.object);
     }
   };
-  callbacks.on_confirmed = [this](const watch_freshness&,
+  callbacks.on_failure = [this] {
+    version_age_.RecordInterruption(MonotonicNow());
+  };
+  callbacks.on_confirmed = [this](const watch_freshness& freshness,
                                   std::uint64_t revision) {
+    version_age_.ConfirmCurrent(*freshness.current_as_of());
     versions_confirmed_ = MonotonicNow();
     if (versions_revision_ == 0) {
       versions_revision_ = revision;
@@ -195,8 +200,9 @@
 
 void catalog_relay::SetVersion(const platform::store_object& object) {
   const auto target = platform::DecodeTargetVersion(object.content);
-  if (target && target->version > versions_[target->model]) {
-    versions_[target->model] = target->version;
+  if (target && target->version > versions_[target->model].version) {
+    const time_point published_at = version_age_.EarliestChange(MonotonicNow());
+    versions_[target->model] = {target->version, published_at};
     versions_revision_ = 0;  // set when the response is complete
   }
 }
@@ -258,6 +264,7 @@
   if (!active_) {
     active_ = true;
     LogLine("event=relay_started");
+    version_age_.RecordInterruption(MonotonicNow());
     configuration_watch_.SetFollowing(true);
     upstream_watch_.SetFollowing(true);
     version_watch_.SetFollowing(true);
@@ -325,7 +332,12 @@
     answer.upstreams = upstreams_.Since(*query.upstreams);
   }
   if (query.versions) {
-    answer.versions = {versions_revision_, versions_};
+    answer.versions = {
+        versions_revision_, now - *version_age_.current_as_of(), {}};
+    for (const auto& [model, known] : versions_) {
+      answer.versions->versions[model] = {known.version,
+                                          now - known.published_at};
+    }
   }
   answer.relays = relays_;
   return answer;
--- a/src/node/catalog_relay.h
+++ b/src/node/catalog_relay.h
@@ -90,7 +90,12 @@
   upstream_history upstreams_;
   std::vector<std::string> relays_;  // of the data centre
   std::optional<time_point> versions_confirmed_;
-  std::map<model_name, std::uint64_t> versions_;
+  struct known_version {
+    std::uint64_t version = 0;
+    time_point published_at;  // not before
+  };
+  std::map<model_name, known_version> versions_;
+  change_age version_age_;
   std::uint64_t versions_revision_ = 0;  // of their last change
   std::optional<duration> outage_;       // length of the last one
   time_point outage_ended_;
--- a/src/node/kind_watch.cc
+++ b/src/node/kind_watch.cc
@@ -143,6 +143,9 @@
     LogLine("event=store_lost kind=" + settings_.kind + " reason=\"" +
             problem.detail + "\"");
   }
+  if (handlers_.on_failure) {
+    handlers_.on_failure();
+  }
 }
 
 void kind_watch::RecordResponse() {
--- a/src/node/kind_watch.h
+++ b/src/node/kind_watch.h
@@ -41,6 +41,8 @@
     /// The store responded; called before `on_list` and `on_change` with the
     /// time since requests began to fail, zero if the last one succeeded.
     std::function<void(duration outage)> on_response;
+    /// A request failed; may be empty.
+    std::function<void()> on_failure = {};
     std::function<void(const platform::store_listing&)> on_list;
     std::function<void(const platform::store_change&)> on_change;
     /// The known state of the kind, which includes all changes up to
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -59,6 +59,13 @@
   std::uint16_t RelayPort() const {
     return static_cast<std::uint16_t>(first_internal_port + 3);
   }
+  /// \brief Duration of a watch of the target versions. It bounds the age of
+  /// the known versions, and thus how early older ones are given up after a
+  /// delayed notice.
+  duration VersionWatch() const { return rollout_timeout * 3 / 10; }
+  /// \brief Assumed age, at the start of a process, of versions that it then
+  /// finds published.
+  duration InitialVersionAge() const { return rollout_timeout * 11 / 20; }
   /// \brief Returns the region of a data centre, or the name of the data centre
   /// if its region is unknown.
   region_id RegionOf(const data_centre_id& data_centre) const;
--- a/src/node/relay_message.cc
+++ b/src/node/relay_message.cc
@@ -211,8 +211,15 @@
   }
   json versions;
   if (answer.versions) {
-    versions = json::array(
-        {answer.versions->revision, EncodeVersions(answer.versions->versions)});
+    json list = json::array();
+    for (const auto& [model, published] : answer.versions->versions) {
+      list.push_back(model.value());
+      list.push_back(published.version);
+      list.push_back(Microseconds(published.age));
+    }
+    versions =
+        json::array({answer.versions->revision,
+                     Microseconds(answer.versions->age), std::move(list)});
   }
   const json message =
       json::array({answer.fresh, Microseconds(answer.held), std::move(outage),
@@ -266,10 +273,18 @@
     answer.upstreams = std::move(changes);
   }
   if (const json& item = reader.Next(); !item.is_null()) {
-    array_reader versions(item);
-    const std::uint64_t revision = versions.Unsigned();
-    answer.versions = {revision, versions.Versions()};
-    ok &= versions.ok();
+    array_reader reader_of_versions(item);
+    relayed_versions versions;
+    versions.revision = reader_of_versions.Unsigned();
+    versions.age = reader_of_versions.Duration();
+    array_reader list(reader_of_versions.Next());
+    while (!list.AtEnd()) {
+      relayed_version& published = versions.versions[model_name(list.Text())];
+      published.version = list.Unsigned();
+      published.age = list.Duration();
+    }
+    ok &= reader_of_versions.ok() && list.ok();
+    answer.versions = std::move(versions);
   }
   array_reader relays(reader.Next());
   while (!relays.AtEnd()) {
--- a/src/node/relay_message.h
+++ b/src/node/relay_message.h
@@ -36,10 +36,21 @@
   auto operator<=>(const relayed_configuration&) const = default;
 };
 
+/// \brief Published version of a model.
+struct relayed_version {
+  std::uint64_t version = 0;
+  /// Upper bound of the time since its publication, when the answer was sent.
+  duration age = {};
+
+  auto operator<=>(const relayed_version&) const = default;
+};
+
 /// \brief Published model versions.
 struct relayed_versions {
   std::uint64_t revision = 0;
-  std::map<model_name, std::uint64_t> versions;
+  /// Time since the relay's view was current, when the answer was sent.
+  duration age = {};
+  std::map<model_name, relayed_version> versions;
 
   auto operator<=>(const relayed_versions&) const = default;
 };
--- a/src/placement/dispatcher.cc
+++ b/src/placement/dispatcher.cc
@@ -139,7 +139,7 @@
 }
 
 void dispatcher::On(const version_published& event) {
-  targets_.Publish(event.model, event.version, event.at_start, now_);
+  targets_.Publish(event.model, event.version, event.published_at, now_);
 }
 
 void dispatcher::On(const platform_responded& /*event*/) {
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -161,8 +161,8 @@
     }
     versions_revision_ =
         std::max(versions_revision_, answer.versions->revision);
-    for (const auto& [model, version] : answer.versions->versions) {
-      SetNewestVersion(model, version);
+    for (const auto& [model, published] : answer.versions->versions) {
+      SetNewestVersion(model, published.version);
     }
     versions_listed_ = true;
     relay_client_.SetRelays(answer.relays);
--- a/tests/catalog/version_targets_test.cc
+++ b/tests/catalog/version_targets_test.cc
@@ -11,12 +11,12 @@
 
   const model_name model_{"m"};
   time_point now_ = time_point(seconds(100));
-  version_targets targets_{seconds(8), seconds(5)};
+  version_targets targets_{seconds(8)};
 };
 
 // Guards against requests that start on weights superseded for too long.
 TEST_F(version_targets_test, SupersededAt_NewerPublished_AfterRolloutTime) {
-  targets_.Publish(model_, 2, false, now_);
+  targets_.Publish(model_, 2, now_, now_);
   EXPECT_EQ(targets_.SupersededAt(model_, 1, now_), now_ + seconds(8));
   EXPECT_EQ(targets_.SupersededAt(model_, 2, now_), std::nullopt);
 }
@@ -25,23 +25,22 @@
 // one.
 TEST_F(version_targets_test,
        SupersededAt_TwoPublished_EachFromItsOwnPublication) {
-  targets_.Publish(model_, 2, false, now_);
-  targets_.Publish(model_, 3, false, now_ + seconds(2));
+  targets_.Publish(model_, 2, now_, now_);
+  targets_.Publish(model_, 3, now_ + seconds(2), now_ + seconds(2));
   EXPECT_EQ(targets_.SupersededAt(model_, 1, now_), now_ + seconds(8));
   EXPECT_EQ(targets_.SupersededAt(model_, 2, now_), now_ + seconds(10));
 }
 
-// Guards against a restart of the process that restarts the rollout time.
-TEST_F(version_targets_test,
-       SupersededAt_PublishedBeforeStart_AssumedAgeCounts) {
-  targets_.Publish(model_, 2, true, now_);
+// Guards against a rollout time that starts at the notice, not the publication.
+TEST_F(version_targets_test, SupersededAt_LateNotice_FromPublication) {
+  targets_.Publish(model_, 2, now_ - seconds(5), now_);
   EXPECT_EQ(targets_.SupersededAt(model_, 1, now_), now_ + seconds(3));
 }
 
 // Guards against refusing all requests during an outage of the platform, when
 // replicas cannot get new weights.
 TEST_F(version_targets_test, SupersededAt_PlatformOutage_OldVersionStaysInUse) {
-  targets_.Publish(model_, 2, false, now_);
+  targets_.Publish(model_, 2, now_, now_);
   now_ += seconds(10);
   EXPECT_EQ(targets_.SupersededAt(model_, 1, now_), std::nullopt);
   targets_.RecordPlatformResponse(now_);
@@ -51,8 +50,8 @@
 
 // Guards against an older version whose publication arrives late.
 TEST_F(version_targets_test, Publish_OlderVersion_Ignored) {
-  targets_.Publish(model_, 3, false, now_);
-  targets_.Publish(model_, 2, false, now_ + seconds(1));
+  targets_.Publish(model_, 3, now_, now_);
+  targets_.Publish(model_, 2, now_ + seconds(1), now_ + seconds(1));
   EXPECT_EQ(targets_.Newest(model_), 3U);
 }
 
--- a/tests/node/catalog_relay_test.cc
+++ b/tests/node/catalog_relay_test.cc
@@ -26,6 +26,7 @@
     std::map<upstream_id, upstream_entry> upstreams;
     std::uint64_t configuration = 0;
     std::uint64_t version = 0;
+    time_point version_published_at;  // not before
     std::optional<time_point> current_as_of;
     std::size_t answers = 0;
     std::size_t changes = 0;
@@ -35,6 +36,7 @@
   catalog_relay_test() : store_(context_) {
     settings_.platform = store_.endpoint();
     settings_.data_centre = data_centre_id("akl");
+    settings_.rollout_timeout = seconds(2);
     store_.PutConfiguration(1);
     store_.PutVersion(1);
     store_.PutUpstream("i-1", "127.0.0.1:80");
@@ -62,7 +64,10 @@
         }
       }
       added.configuration = answer.configuration->version;
-      added.version = answer.versions->versions.begin()->second;
+      const relayed_version& version =
+          answer.versions->versions.begin()->second;
+      added.version = version.version;
+      added.version_published_at = sent + answer.held - version.age;
       added.current_as_of = sent + answer.held - answer.configuration->age;
     };
     callbacks.on_watch_store = [&added](bool watch) {
@@ -172,6 +177,33 @@
   EXPECT_LE(*process.current_as_of, silent_since);
 }
 
+// Guards against a relay that learns late of a version and passes it on as if
+// it had just been published.
+TEST_F(catalog_relay_test, Version_PublishedWhileStoreSilent_AgeCoversDelay) {
+  follower& process = AddFollower();
+  ASSERT_TRUE(RunUntil([&] { return process.version == 1; }));
+  store_.set_mode(fake_store::mode::kSilent);
+  ASSERT_TRUE(RunUntil([&] { return process.watches_store; }));
+  const time_point published_at = MonotonicNow();
+  store_.PutVersion(2);
+  context_.run_for(std::chrono::milliseconds(300));
+  store_.set_mode(fake_store::mode::kUp);
+  ASSERT_TRUE(RunUntil([&] { return process.version == 2; }));
+  EXPECT_LE(process.version_published_at, published_at);
+}
+
+// Guards against giving up the older version early: a version that arrives by
+// an undisturbed watch is new.
+TEST_F(catalog_relay_test, Version_PublishedWhileFollowed_New) {
+  follower& process = AddFollower();
+  ASSERT_TRUE(RunUntil([&] { return process.version == 1; }));
+  context_.run_for(std::chrono::milliseconds(1500));
+  const time_point before = MonotonicNow();
+  store_.PutVersion(2);
+  ASSERT_TRUE(RunUntil([&] { return process.version == 2; }));
+  EXPECT_GE(process.version_published_at, before - seconds(1));
+}
+
 // Guards against the end of a relay by a malformed response of the store, and
 // against followers that then trust it.
 TEST_F(catalog_relay_test, Store_SendsGarbage_RelayContinuesAndRecovers) {
--- a/tests/node/relay_message_test.cc
+++ b/tests/node/relay_message_test.cc
@@ -32,7 +32,8 @@
         20,
         false,
         {{upstream_id("a"), Entry("a")}, {upstream_id("b"), std::nullopt}}};
-    answer.versions = {12, {{model_name("m"), 3}}};
+    answer.versions = {
+        12, milliseconds(700), {{model_name("m"), {3, seconds(2)}}}};
     answer.relays = {"10.1.0.40", "10.1.0.41"};
     return answer;
   }
--- a/tests/placement/dispatcher_test.cc
+++ b/tests/placement/dispatcher_test.cc
@@ -81,8 +81,7 @@
   const model_name model_{"m"};
   time_point now_ = time_point(seconds(100));
   upstream_map upstreams_;
-  dispatcher core_{Policy(), version_targets(seconds(8), seconds(5)),
-                   random_source(1)};
+  dispatcher core_{Policy(), version_targets(seconds(8)), random_source(1)};
   std::map<dispatch_id, std::string> started_;
   std::map<dispatch_id, dispatcher::refuse> refused_;
 };
@@ -281,7 +280,7 @@
 TEST_F(dispatcher_test, Submit_VersionSuperseded_OnlyNewOne) {
   Add("old");
   Add("new", "wlg", 2);
-  Handle(dispatcher::version_published{model_, 2, false});
+  Handle(dispatcher::version_published{model_, 2, now_});
   for (int i = 0; i < 3; ++i) {
     now_ += seconds(3);
     Handle(dispatcher::platform_responded{});
@@ -294,7 +293,7 @@
 // platform, and then lets requests start on superseded weights.
 TEST_F(dispatcher_test, Submit_ResumedFromPause_SupersededVersionNotChosen) {
   Add("old");
-  Handle(dispatcher::version_published{model_, 2, false});
+  Handle(dispatcher::version_published{model_, 2, now_});
   for (int i = 0; i < 10; ++i) {
     now_ += milliseconds(450);
     Handle(dispatcher::platform_responded{});
@@ -310,7 +309,7 @@
 // replicas cannot get new weights.
 TEST_F(dispatcher_test, Submit_PlatformSilentWhileRunning_OldVersionChosen) {
   Add("old");
-  Handle(dispatcher::version_published{model_, 2, false});
+  Handle(dispatcher::version_published{model_, 2, now_});
   for (int i = 0; i < 20; ++i) {
     now_ += milliseconds(450);
     Handle(tick{});
@@ -319,6 +318,19 @@
   EXPECT_EQ(started_[1], "old");
 }
 
+// Guards against a gateway that was paused while weights were published, and
+// then starts requests on superseded weights for the whole rollout time.
+TEST_F(dispatcher_test, Submit_VersionLearnedLate_OnlyNewOne) {
+  Add("old");
+  Handle(dispatcher::version_published{model_, 2, now_ - seconds(4)});
+  for (int i = 0; i < 10; ++i) {
+    now_ += milliseconds(450);
+    Handle(dispatcher::platform_responded{});
+  }
+  Handle(Work(1));
+  EXPECT_TRUE(started_.empty());
+}
+
 // Guards against resuming a stream on another version of the weights.
 TEST_F(dispatcher_test, Submit_VersionRequired_OnlyThatOne) {
   Add("a");
--- a/tests/placement/virtual_fleet.h
+++ b/tests/placement/virtual_fleet.h
@@ -71,8 +71,7 @@
     for (std::size_t i = 0; i < gateways; ++i) {
       policy.data_centre = data_centres[i % data_centres.size()];
       gateways_.push_back(std::make_unique<dispatcher>(
-          policy, version_targets(seconds(8), seconds(5)),
-          random_source(seed * 100 + i)));
+          policy, version_targets(seconds(8)), random_source(seed * 100 + i)));
       gateways_.back()->Handle(dispatcher::platform_responded{}, now_);
       Deliver(i, dispatcher::upstreams_changed{upstreams});
     }
