--- a/include/fireflyslip/catalog/version_targets.h
+++ b/include/fireflyslip/catalog/version_targets.h
@@ -21,21 +21,32 @@
  public:
   /// \param rollout time within which replicas switch to a published version,
   /// minus the time for which a request may wait at a replica.
-  /// \param assumed_age assumed age of a version that had been published before
-  /// the process started.
-  version_targets(duration rollout, duration assumed_age)
-      : rollout_(rollout), assumed_age_(assumed_age) {}
+  explicit version_targets(duration rollout) : rollout_(rollout) {}
 
   /// \brief Adds a published version; ignored unless it is the newest.
-  /// \param at_start whether it was published before the process started.
+  /// \param published_at time before which it was not published.
   void Publish(const model_name& model,
                std::uint64_t version,
-               bool at_start,
+               time_point published_at,
                time_point now);
 
+  /// \brief Records that this process is running. It must be called at least
+  /// once in `kMaxObservationGap` while the process runs: a longer gap is a
+  /// pause of the process, which says nothing about the platform.
+  void Observe(time_point now);
+
   /// \brief Records that the platform responded.
   void RecordPlatformResponse(time_point now);
 
+  /// \brief Whether old versions stay in use because the platform does not
+  /// respond, or has not until shortly before.
+  bool IsOutage(time_point now) const {
+    return now < grace_until_ ||
+           (last_response_ && now - *last_response_ > kOutage);
+  }
+
+  static constexpr milliseconds kMaxObservationGap{1000};
+
   /// \brief Newest published version; 0 if none is known.
   std::uint64_t Newest(const model_name& model) const;
 
@@ -57,13 +68,9 @@
   /// Time after an outage for which old versions stay in use.
   static constexpr milliseconds kOutageGrace{2200};
 
-  bool IsOutage(time_point now) const {
-    return now < grace_until_ ||
-           (last_response_ && now - *last_response_ > kOutage);
-  }
-
   duration rollout_;
-  duration assumed_age_;
+  std::optional<time_point> last_observed_;
+  // Postponed by pauses of the process, so that they do not count as silence.
   std::optional<time_point> last_response_;
   time_point grace_until_;
   std::map<model_name, std::vector<published_version>> models_;  // by version
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -26,6 +26,9 @@
 /// Stagers send reports for three seconds after the last subscription. Each
 /// subscription also measures the round-trip time to the stager.
 constexpr milliseconds kSubscribeInterval{800};
+/// Interval of events without which the dispatcher assumes a pause.
+constexpr duration kObservationInterval =
+    version_targets::kMaxObservationGap / 2;
 /// Fraction of the revocation timeout after which keys are stale; the rest
 /// allows for the clock resolution.
 constexpr double kKeyLifetimeFraction = 0.96;
@@ -38,9 +41,6 @@
 /// superseded version; the rest is for the notification of a new version and
 /// for the latency to a replica.
 constexpr double kRolloutFraction = 0.95;
-/// Fraction of the rollout timeout that is assumed to have elapsed for a
-/// version published before this process started.
-constexpr double kElapsedRolloutFraction = 0.55;
 constexpr std::size_t kMaxClientConnections = 3000;
 
 duration Scale(duration value, double factor) {
@@ -72,11 +72,9 @@
 dispatcher MakeDispatcher(const node_settings& settings, std::uint64_t seed) {
   placement_policy policy;
   policy.data_centre = settings.data_centre;
-  return {
-      std::move(policy),
-      version_targets(Scale(settings.rollout_timeout, kRolloutFraction),
-                      Scale(settings.rollout_timeout, kElapsedRolloutFraction)),
-      random_source(seed)};
+  return {std::move(policy),
+          version_targets(Scale(settings.rollout_timeout, kRolloutFraction)),
+          random_source(seed)};
 }
 
 }  // namespace
@@ -104,6 +102,7 @@
       kPruneInterval, [this] { upstream_client_.PruneIdleConnections(); });
   timers_.SubscribePeriodic(kSubscribeInterval,
                             [this] { SubscribeToReports(); });
+  timers_.SubscribePeriodic(kObservationInterval, [this] { Observe(); });
 }
 
 gateway::~gateway() = default;
@@ -165,8 +164,8 @@
 
 void gateway::SetTargetVersion(const model_name& model,
                                std::uint64_t version,
-                               bool at_start) {
-  Handle(dispatcher::version_published{model, version, at_start});
+                               time_point published_at) {
+  Handle(dispatcher::version_published{model, version, published_at});
 }
 
 void gateway::ConfirmKeys(time_point current_as_of) {
@@ -263,6 +262,16 @@
   }
 }
 
+void gateway::Observe() {
+  Handle(tick{});
+  const bool outage = dispatcher_.core().IsPlatformOutage(MonotonicNow());
+  if (outage != platform_outage_) {
+    platform_outage_ = outage;
+    LogLine(std::string("event=superseded_versions_") +
+            (outage ? "allowed reason=platform_outage" : "refused"));
+  }
+}
+
 void gateway::SubscribeToReports() {
   if (!monitored_ || !report_socket_.is_open()) {
     return;
--- a/src/placement/dispatcher.cc
+++ b/src/placement/dispatcher.cc
@@ -27,6 +27,7 @@
 std::vector<dispatcher::action> dispatcher::Handle(const event& event,
                                                    time_point now) {
   now_ = now;
+  targets_.Observe(now);
   actions_.clear();
   std::visit([this](const auto& happened) { On(happened); }, event);
   return std::exchange(actions_, {});
@@ -138,7 +139,7 @@
 }
 
 void dispatcher::On(const version_published& event) {
-  targets_.Publish(event.model, event.version, event.at_start, now_);
+  targets_.Publish(event.model, event.version, event.published_at, now_);
 }
 
 void dispatcher::On(const platform_responded& /*event*/) {
