Block requests with a part of a prompt that crashes replicas

Requests of one kind crashed replica after replica: a part of their prompts crashes each replica that begins to respond to it, no two requests are alike, and each one was retried on a second replica. Nothing related a crash to the requests that were about to begin, and no gateway learned what others saw.

crash_attribution (module retry) collects, for each shared part of a prompt, the crashes at which a request with it had not begun its response. A crash is the end of a connection together with the report of the stager on the replica's VM that the replica does not respond. Every response that begins clears its parts. A part is blocked after two crashes without a response since, after three if it was answered before; a crash that a blocked part explains does not count against others. Gateways and stagers exchange the evidence as datagrams, merged by union, when it changes and for 3 s after. A blocked request is refused at once with 422, request_crashes_upstream, also while it is queued or to be retried. Evidence expires after two minutes.

Tests: crash_attribution_test; crash_replay_test replays 8 and 44 gateways, with lost messages, in virtual time; codecs.

A request that crashes replicas as a whole (same content again) is not covered.

--- a/include/fireflyslip/core.h
+++ b/include/fireflyslip/core.h
@@ -7,6 +7,7 @@
 #include "fireflyslip/core/decision_core.h"
 #include "fireflyslip/core/digest.h"
 #include "fireflyslip/core/error.h"
+#include "fireflyslip/core/hash.h"
 #include "fireflyslip/core/ids.h"
 #include "fireflyslip/core/process_role.h"
 #include "fireflyslip/core/random_source.h"
--- /dev/null
+++ b/include/fireflyslip/retry/crash_attribution.h
@@ -0,0 +1,113 @@
+#ifndef FIREFLYSLIP_RETRY_CRASH_ATTRIBUTION_H_
+#define FIREFLYSLIP_RETRY_CRASH_ATTRIBUTION_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "fireflyslip/core/ids.h"
+#include "fireflyslip/core/time.h"
+
+namespace fireflyslip {
+
+/// \brief Hash of the id of a part of a prompt that requests may share.
+using prompt_part = std::uint64_t;
+
+/// \brief Identifies one crash: a hash of the upstream and its incarnation.
+using crash_id = std::uint64_t;
+
+/// \brief Returns the crash that ends this incarnation of the upstream.
+crash_id CrashOf(const upstream_id& upstream, std::uint64_t started_ms);
+
+/// \brief What is known of one part. Evidence of several gateways is merged by
+/// union, in any order and any number of times.
+struct crash_evidence {
+  prompt_part part = 0;
+  /// A request with the part has begun its response before the first crash.
+  bool begun_before = false;
+  /// Crashes at which a request with the part was about to begin its response;
+  /// the value is true if another one has begun since.
+  std::map<crash_id, bool> crashes;
+
+  bool operator==(const crash_evidence&) const = default;
+};
+
+/// \brief Attributes crashes of upstreams to parts of the prompts that were
+/// about to be answered there, and blocks requests with such a part.
+///
+/// Load pattern: one part of a prompt crashes each upstream that begins to
+/// respond to it. No two requests with it are alike, and sound requests share
+/// all of their other parts. A request that has begun its response is not the
+/// cause of a crash, and each request that begins clears its parts. A crash
+/// that a blocked part explains does not count against other parts.
+///
+/// The owner exchanges the evidence with other gateways, since each one sees
+/// only its own requests.
+class crash_attribution {
+ public:
+  /// \param lifetime time for which evidence is kept after its last change.
+  /// \param bound maximum number of parts with evidence.
+  explicit crash_attribution(duration lifetime = std::chrono::minutes(2),
+                             std::size_t bound = 256);
+
+  // Requests of this gateway. An attempt is identified by its request.
+  void AttemptStarted(std::uint64_t request,
+                      crash_id incarnation,
+                      std::vector<prompt_part> parts);
+  /// \brief The first part of the response has arrived.
+  void AttemptBegun(std::uint64_t request, time_point now);
+  /// \param interrupted the upstream closed the connection.
+  void AttemptEnded(std::uint64_t request, bool interrupted, time_point now);
+  /// \brief The upstream has stopped responding to the agent on its own VM.
+  void UpstreamLost(crash_id incarnation, time_point now);
+
+  /// \brief Adds evidence of another gateway; returns whether it was new.
+  bool Merge(const std::vector<crash_evidence>& evidence, time_point now);
+
+  /// \brief Evidence that changed later than `since`, blocked parts first, at
+  /// most `limit`.
+  std::vector<crash_evidence> ChangedSince(time_point since,
+                                           std::size_t limit) const;
+
+  bool IsBlocked(const std::vector<prompt_part>& parts) const;
+  const std::set<prompt_part>& blocked() const { return blocked_; }
+  std::size_t size() const { return records_.size(); }
+
+ private:
+  struct attempt {
+    crash_id incarnation = 0;
+    std::vector<prompt_part> parts;
+    bool begun = false;
+  };
+  struct interrupted_attempt {
+    crash_id incarnation = 0;
+    std::vector<prompt_part> parts;
+    time_point at;
+  };
+  struct record {
+    crash_evidence evidence;
+    time_point changed_at;
+  };
+
+  void Suspect(const std::vector<prompt_part>& parts,
+               crash_id crash,
+               time_point now);
+  void Expire(time_point now);
+  void UpdateBlocked();
+
+  duration lifetime_;
+  std::size_t bound_;
+  std::map<std::uint64_t, attempt> attempts_;     // by request
+  std::vector<interrupted_attempt> interrupted_;  // in order of time
+  std::map<crash_id, time_point> lost_;
+  std::map<prompt_part, record> records_;
+  std::map<prompt_part, time_point> begun_;  // parts seen to begin
+  std::set<prompt_part> blocked_;
+};
+
+}  // namespace fireflyslip
+
+#endif  // FIREFLYSLIP_RETRY_CRASH_ATTRIBUTION_H_
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -111,7 +111,10 @@
     if (!placed) {
       break;
     }
+    gateway_.crashes().AttemptStarted(id_, placement_->upstream,
+                                      metadata_.shared_prompt_parts);
     const attempt_report report = co_await RunAttempt();
+    gateway_.crashes().AttemptEnded(id_, report.interrupted, MonotonicNow());
     gateway_.Handle(dispatcher::attempt_completed{id_, report.status});
     if (report.delivered || cancel_cause_ != cancel_cause::kNone) {
       break;
@@ -219,7 +222,16 @@
       });
 }
 
+bool exchange::IsBlocked() const {
+  return !stream_started_ &&
+         gateway_.crashes().IsBlocked(metadata_.shared_prompt_parts);
+}
+
 awaitable<bool> exchange::AwaitPlacement() {
+  if (IsBlocked()) {
+    co_await SendBlocked();
+    co_return false;
+  }
   placement_.reset();
   rejection_.reset();
   const time_point now = MonotonicNow();
@@ -247,6 +259,13 @@
     co_await placement_event_.async_wait(
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
   }
+  // The part may have been blocked while the request was queued.
+  if (placement_ && cancel_cause_ == cancel_cause::kNone && IsBlocked()) {
+    gateway_.Handle(
+        dispatcher::attempt_completed{id_, attempt_status::kAbandoned});
+    co_await SendBlocked();
+    co_return false;
+  }
   if (placement_ && cancel_cause_ == cancel_cause::kNone) {
     if (first) {
       placement_delay_ = MonotonicNow() - received_at_;
@@ -413,6 +432,7 @@
       continue;
     }
     gateway_.Handle(dispatcher::response_begun{id_});
+    gateway_.crashes().AttemptBegun(id_, MonotonicNow());
     const bool written =
         co_await WriteEvents(reader->head(), std::move(events));
     if (!written) {
@@ -480,6 +500,12 @@
   co_await SendProblem(problem);
 }
 
+awaitable<void> exchange::SendBlocked() {
+  const error problem{error_kind::kRequestCrashesUpstream,
+                      "a part of the prompt crashes upstreams"};
+  co_await SendProblem(problem);
+}
+
 awaitable<void> exchange::SendProblem(const error& problem) {
   /// Retry delay for rejections that do not depend on the load.
   constexpr milliseconds kDefaultDelay{300};
@@ -550,6 +576,7 @@
   const bool timed_out = MonotonicNow() - started_at >= read_timeout;
   report.status =
       timed_out ? attempt_status::kUnreachable : attempt_status::kFailed;
+  report.interrupted = !timed_out;
   return report;
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -46,6 +46,7 @@
     bool delivered = false;
     attempt_outcome outcome = attempt_outcome::kMayHaveRun;
     attempt_status status = attempt_status::kSucceeded;
+    bool interrupted = false;  // the upstream ended the connection
     std::string detail;
     std::optional<http_response> upstream_response;  // with an error status
   };
@@ -54,6 +55,9 @@
   std::optional<error> Authorize();
   void Cancel(cancel_cause cause);
   void StartDeadlineTimer();
+  /// \brief Whether a part of the prompt crashes upstreams. A stream that has
+  /// begun is not affected.
+  bool IsBlocked() const;
   boost::asio::awaitable<bool> AwaitPlacement();
   boost::asio::awaitable<attempt_report> RunAttempt();
   boost::asio::awaitable<attempt_report> ForwardResponse(
@@ -64,6 +68,7 @@
                                            std::string events);
   boost::asio::awaitable<void> SendFailure(retry_decision decision,
                                            const attempt_report& report);
+  boost::asio::awaitable<void> SendBlocked();
   boost::asio::awaitable<void> SendProblem(const error& problem);
   boost::asio::awaitable<void> SendCancellation();
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -41,6 +41,8 @@
 /// superseded version; the rest is for the notification of a new version and
 /// for the latency to a replica.
 constexpr double kRolloutFraction = 0.95;
+/// Interval at which new evidence of crashes is sent to the stagers.
+constexpr milliseconds kCrashNoticeInterval{100};
 constexpr std::size_t kMaxClientConnections = 3000;
 
 duration Scale(duration value, double factor) {
@@ -102,6 +104,11 @@
       kPruneInterval, [this] { upstream_client_.PruneIdleConnections(); });
   timers_.SubscribePeriodic(kSubscribeInterval,
                             [this] { SubscribeToReports(); });
+  timers_.SubscribePeriodic(kCrashNoticeInterval, [this] {
+    if (const auto notice = crashes_.TakeNotice(MonotonicNow())) {
+      SendToStagers(*notice);
+    }
+  });
   timers_.SubscribePeriodic(kObservationInterval, [this] { Observe(); });
 }
 
@@ -228,8 +235,7 @@
 }
 
 awaitable<void> gateway::ReceiveReports() {
-  constexpr std::size_t kMaxDatagramBytes = 2048;
-  std::array<std::uint8_t, kMaxDatagramBytes> buffer{};
+  std::array<std::uint8_t, kMaxLoadDatagramBytes> buffer{};
   udp::endpoint from;
   for (;;) {
     boost::system::error_code code;
@@ -243,21 +249,56 @@
       continue;  // ICMP error for an earlier datagram without a receiver
     }
     const auto message = DecodeLoadMessage(std::span(buffer.data(), size));
-    const auto* report =
-        message ? std::get_if<load_report>(&*message) : nullptr;
-    if (report == nullptr) {
+    if (!message) {
       continue;
     }
-    const auto found = upstreams_by_address_.find(report->engine);
-    if (found != upstreams_by_address_.end()) {
-      dispatcher::load_reported reported{found->second, report->load};
-      gateway_count_.Report(found->second, report->load.gateways);
-      const std::uint64_t now = ClockMicroseconds();
-      const std::uint64_t echo_time_us =
-          report->echo_us + report->echo_delay_us;
-      reported.load.round_trip_time =
-          duration(now > echo_time_us ? now - echo_time_us : 0);
-      Handle(reported);
+    if (const auto* report = std::get_if<load_report>(&*message)) {
+      OnLoadReport(*report);
+    } else if (const auto* notice = std::get_if<crash_notice>(&*message)) {
+      crashes_.OnNotice(*notice, MonotonicNow());
+    }
+  }
+}
+
+void gateway::OnLoadReport(const load_report& report) {
+  const auto found = upstreams_by_address_.find(report.engine);
+  if (found == upstreams_by_address_.end()) {
+    return;
+  }
+  dispatcher::load_reported reported{found->second, report.load};
+  gateway_count_.Report(found->second, report.load.gateways);
+  const std::uint64_t now = ClockMicroseconds();
+  const std::uint64_t echo_time_us = report.echo_us + report.echo_delay_us;
+  reported.load.round_trip_time =
+      duration(now > echo_time_us ? now - echo_time_us : 0);
+  crashes_.OnReachability(monitored_->at(found->second), report.load.reachable,
+                          MonotonicNow());
+  Handle(reported);
+}
+
+std::optional<udp::endpoint> gateway::StagerEndpoint(
+    const upstream_entry& upstream) const {
+  const auto endpoint = ParseHttpEndpoint(upstream.address);
+  if (!upstream.has_engine || !endpoint) {
+    return std::nullopt;
+  }
+  boost::system::error_code code;
+  const auto address = boost::asio::ip::make_address(endpoint->address, code);
+  return code ? std::nullopt
+              : std::optional(
+                    udp::endpoint(address, settings_.first_internal_port));
+}
+
+void gateway::SendToStagers(const crash_notice& notice) {
+  if (!monitored_ || !report_socket_.is_open()) {
+    return;
+  }
+  const std::vector<std::uint8_t> datagram = EncodeLoadMessage(notice);
+  for (const auto& [id, entry] : *monitored_) {
+    if (const auto endpoint = StagerEndpoint(entry)) {
+      boost::system::error_code ignored;  // repeated with the subscriptions
+      report_socket_.send_to(boost::asio::buffer(datagram), *endpoint, 0,
+                             ignored);
     }
   }
 }
@@ -279,14 +320,10 @@
   const std::uint64_t now_us = ClockMicroseconds();
   std::map<data_centre_id, std::vector<std::uint8_t>> subscriptions;
   for (const auto& [id, entry] : *monitored_) {
-    const auto endpoint = ParseHttpEndpoint(entry.address);
-    if (!entry.has_engine || !endpoint) {
+    const auto stager_endpoint = StagerEndpoint(entry);
+    if (!stager_endpoint) {
       continue;
     }
-    boost::system::error_code code;
-    const udp::endpoint stager_endpoint(
-        boost::asio::ip::make_address(endpoint->address, code),
-        settings_.first_internal_port);
     std::vector<std::uint8_t>& subscription = subscriptions[entry.data_centre];
     if (subscription.empty()) {
       subscription = EncodeLoadMessage(
@@ -294,11 +331,12 @@
                             ReportInterval(*upstreams_, settings_.data_centre,
                                            entry.data_centre)});
     }
-    if (!code) {
-      // Errors are ignored: the next subscription replaces a lost one.
-      report_socket_.send_to(boost::asio::buffer(subscription), stager_endpoint,
-                             0, code);
-    }
+    boost::system::error_code ignored;  // the next one replaces a lost one
+    report_socket_.send_to(boost::asio::buffer(subscription), *stager_endpoint,
+                           0, ignored);
+  }
+  if (const auto notice = crashes_.RecentNotice(MonotonicNow())) {
+    SendToStagers(*notice);
   }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "fireflyslip/http.h"
 #include "fireflyslip/placement.h"
 #include "fireflyslip/runtime.h"
+#include "gateway/crash_monitor.h"
 #include "node/node_settings.h"
 
 namespace fireflyslip {
@@ -65,12 +66,17 @@
   /// \brief This gateway's part of the fixed retry allowance.
   double RetryAllowance() const;
   double Random() { return random_.Fraction(); }
+  crash_monitor& crashes() { return crashes_; }
 
  private:
   boost::asio::awaitable<void> Serve(http_request request,
                                      response_writer& writer);
   boost::asio::awaitable<void> ReceiveReports();
   void SubscribeToReports();
+  void OnLoadReport(const load_report& report);
+  void SendToStagers(const crash_notice& notice);
+  std::optional<boost::asio::ip::udp::endpoint> StagerEndpoint(
+      const upstream_entry& upstream) const;
   /// \brief Lets the dispatcher observe that this process runs.
   void Observe();
   void Apply(const dispatcher::action& action);
@@ -92,6 +98,7 @@
   gateway_count_estimate gateway_count_;
   std::map<std::string, upstream_id> upstreams_by_address_;
   std::map<service_name, retry_window> retry_budgets_;
+  crash_monitor crashes_;
   std::optional<time_point> keys_current_as_of_;
   dispatch_id next_dispatch_ = 1;
   bool platform_outage_ = false;  // already logged
--- a/src/node/load_report.cc
+++ b/src/node/load_report.cc
@@ -13,6 +13,9 @@
 // compactly, as arrays without field names. The first element is the type.
 constexpr int kSubscriptionType = 1;
 constexpr int kReportType = 2;
+constexpr int kCrashNoticeType = 3;
+/// Elements of the evidence of one part before its crashes.
+constexpr std::size_t kEvidenceHeaderSize = 2;
 constexpr std::size_t kSubscriptionSize = 4;
 constexpr std::size_t kReportSize = 9;
 
@@ -32,6 +35,44 @@
          IsUnsigned(value[7]) && value[8].is_array();
 }
 
+json EncodeEvidence(const crash_evidence& evidence) {
+  json item = json::array({evidence.part, evidence.begun_before});
+  for (const auto& [crash, cleared] : evidence.crashes) {
+    item.push_back(crash);
+    item.push_back(cleared);
+  }
+  return item;
+}
+
+std::optional<crash_evidence> DecodeEvidence(const json& item) {
+  if (!item.is_array() || item.size() < kEvidenceHeaderSize ||
+      !IsUnsigned(item[0]) || !item[1].is_boolean()) {
+    return std::nullopt;
+  }
+  crash_evidence evidence;
+  evidence.part = item[0].get<prompt_part>();
+  evidence.begun_before = item[1].get<bool>();
+  for (std::size_t i = kEvidenceHeaderSize; i + 1 < item.size(); i += 2) {
+    if (!IsUnsigned(item[i]) || !item[i + 1].is_boolean()) {
+      return std::nullopt;
+    }
+    evidence.crashes[item[i].get<crash_id>()] = item[i + 1].get<bool>();
+  }
+  return evidence;
+}
+
+std::optional<crash_notice> DecodeCrashNotice(const json& value) {
+  crash_notice notice;
+  for (std::size_t i = 1; i < value.size(); ++i) {
+    std::optional<crash_evidence> evidence = DecodeEvidence(value[i]);
+    if (!evidence || notice.evidence.size() == kMaxEvidencePerNotice) {
+      return std::nullopt;
+    }
+    notice.evidence.push_back(*std::move(evidence));
+  }
+  return notice;
+}
+
 /// Bits of the state flags of a replica.
 constexpr std::uint32_t kLoadingFlag = 1;
 constexpr std::uint32_t kReachableFlag = 2;
@@ -47,6 +88,13 @@
                  subscription.sent_us,
                  static_cast<std::uint64_t>(subscription.interval.count())});
           },
+          [](const crash_notice& notice) {
+            json list = json::array({kCrashNoticeType});
+            for (const crash_evidence& evidence : notice.evidence) {
+              list.push_back(EncodeEvidence(evidence));
+            }
+            return list;
+          },
           [](const load_report& report) {
             json models = json::array();
             for (const auto& [model, version] : report.load.model_versions) {
@@ -78,6 +126,9 @@
                              value[2].get<std::uint64_t>(),
                              duration(value[3].get<duration::rep>())};
   }
+  if (!value.empty() && value[0] == kCrashNoticeType) {
+    return DecodeCrashNotice(value);
+  }
   if (!IsReport(value)) {
     return std::nullopt;
   }
--- a/src/node/load_report.h
+++ b/src/node/load_report.h
@@ -11,6 +11,7 @@
 #include "fireflyslip/core/ids.h"
 #include "fireflyslip/core/time.h"
 #include "fireflyslip/placement/upstream_load.h"
+#include "fireflyslip/retry/crash_attribution.h"
 
 namespace fireflyslip {
 
@@ -36,7 +37,21 @@
   bool operator==(const load_report&) const = default;
 };
 
-using load_message = std::variant<load_subscription, load_report>;
+/// \brief Evidence of crashes, from a gateway to the stagers of the replicas
+/// that it follows, and from a stager to its subscribers.
+struct crash_notice {
+  std::vector<crash_evidence> evidence;
+
+  bool operator==(const crash_notice&) const = default;
+};
+
+/// Bounds the size of a datagram.
+inline constexpr std::size_t kMaxEvidencePerNotice = 24;
+inline constexpr std::size_t kMaxLoadDatagramBytes = 4096;
+/// Time for which evidence is repeated, because datagrams may be lost.
+inline constexpr duration kEvidenceRepeatTime = seconds(3);
+
+using load_message = std::variant<load_subscription, load_report, crash_notice>;
 
 /// \brief Encodes a message as one CBOR datagram.
 std::vector<std::uint8_t> EncodeLoadMessage(const load_message& message);
--- a/src/stager/load_publisher.cc
+++ b/src/stager/load_publisher.cc
@@ -61,8 +61,7 @@
 }
 
 awaitable<void> load_publisher::ReceiveSubscriptions() {
-  constexpr std::size_t kMaxDatagramBytes = 512;
-  std::array<std::uint8_t, kMaxDatagramBytes> buffer{};
+  std::array<std::uint8_t, kMaxLoadDatagramBytes> buffer{};
   udp::endpoint from;
   for (;;) {
     boost::system::error_code code;
@@ -76,18 +75,52 @@
       continue;  // ICMP error for an earlier datagram without a receiver
     }
     const auto message = DecodeLoadMessage(std::span(buffer.data(), size));
-    const auto* subscription =
-        message ? std::get_if<load_subscription>(&*message) : nullptr;
-    if (subscription != nullptr) {
-      subscriber& record = subscribers_[subscription->subscriber];
-      record.endpoint = from;
-      record.subscribed_at = MonotonicNow();
-      record.sent_us = subscription->sent_us;
-      record.interval = subscription->interval;
+    if (!message) {
+      continue;
+    }
+    if (const auto* subscription = std::get_if<load_subscription>(&*message)) {
+      OnSubscription(*subscription, from);
+    } else if (const auto* notice = std::get_if<crash_notice>(&*message)) {
+      OnCrashNotice(*notice);
     }
   }
 }
 
+void load_publisher::OnSubscription(const load_subscription& subscription,
+                                    const udp::endpoint& from) {
+  const time_point now = MonotonicNow();
+  const auto [found, is_new] =
+      subscribers_.try_emplace(subscription.subscriber);
+  subscriber& record = found->second;
+  record.endpoint = from;
+  record.subscribed_at = now;
+  record.sent_us = subscription.sent_us;
+  record.interval = subscription.interval;
+  SendEvidence(is_new ? time_point() : now - kEvidenceRepeatTime, from);
+}
+
+void load_publisher::OnCrashNotice(const crash_notice& notice) {
+  const time_point now = MonotonicNow();
+  if (!crashes_.Merge(notice.evidence, now)) {
+    return;
+  }
+  for (const auto& [vm, subscriber] : subscribers_) {
+    SendEvidence(now - duration(1), subscriber.endpoint);
+  }
+}
+
+void load_publisher::SendEvidence(time_point changed_since,
+                                  const udp::endpoint& to) {
+  const crash_notice notice{
+      crashes_.ChangedSince(changed_since, kMaxEvidencePerNotice)};
+  if (notice.evidence.empty()) {
+    return;
+  }
+  const std::vector<std::uint8_t> datagram = EncodeLoadMessage(notice);
+  boost::system::error_code ignored;  // repeated at the next subscription
+  socket_.send_to(boost::asio::buffer(datagram), to, 0, ignored);
+}
+
 awaitable<void> load_publisher::Poll() {
   boost::asio::steady_timer timer(context_);
   for (;;) {
--- a/src/stager/load_publisher.h
+++ b/src/stager/load_publisher.h
@@ -10,6 +10,7 @@
 
 #include "fireflyslip/core/result.h"
 #include "fireflyslip/placement/upstream_load.h"
+#include "node/load_report.h"
 #include "node/node_settings.h"
 #include "platform/engine_client.h"
 
@@ -44,6 +45,12 @@
   /// \param immediately whether to report to all subscribers, regardless of
   /// their intervals.
   void Send(const upstream_load& load, bool immediately);
+  void OnSubscription(const load_subscription& subscription,
+                      const boost::asio::ip::udp::endpoint& from);
+  /// \brief Passes evidence on to the subscribers if it is new.
+  void OnCrashNotice(const crash_notice& notice);
+  void SendEvidence(time_point changed_since,
+                    const boost::asio::ip::udp::endpoint& to);
 
   boost::asio::io_context& context_;
   const node_settings& settings_;
@@ -61,6 +68,7 @@
   bool reachable_ = true;
   bool load_pending_ = false;
   upstream_load last_load_;
+  crash_attribution crashes_;
 };
 
 }  // namespace fireflyslip
--- a/tests/adapter/call_codec_test.cc
+++ b/tests/adapter/call_codec_test.cc
@@ -37,6 +37,26 @@
   EXPECT_EQ(metadata.last_event_id, 4U);
 }
 
+// Guards against suspecting the last part of a prompt, which no other request
+// holds, and against state that one request makes grow.
+TEST_F(call_codec_test, DecodeRequestMetadata_PromptPrefix_AllButTheLastPart) {
+  const auto parts = [](const std::string& list) {
+    http_request request;
+    request.fields = {{"Prompt-Prefix", list}};
+    return DecodeRequestMetadata(request).shared_prompt_parts;
+  };
+  EXPECT_TRUE(parts("").empty());
+  EXPECT_TRUE(parts("5c1e07a2:800").empty());
+  const auto two = parts("5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
+  ASSERT_EQ(two.size(), 2U);
+  EXPECT_EQ(two[1], parts("91bd3f06:7,1:1").front());
+  std::string many;
+  for (int i = 0; i < 1000; ++i) {
+    many += std::to_string(i) + ":1,";
+  }
+  EXPECT_LE(parts(many).size(), 32U);
+}
+
 // Guards against forwarding API keys and forged workspaces to an upstream.
 TEST_F(call_codec_test, EncodeAttempt_SystemFields_Replaced) {
   attempt_fields fields;
--- a/tests/node/load_report_test.cc
+++ b/tests/node/load_report_test.cc
@@ -20,6 +20,12 @@
   EXPECT_EQ(DecodeLoadMessage(EncodeLoadMessage(report)), load_message(report));
 }
 
+TEST_F(load_report_test, CrashNotice_Encoded_DecodesEqual) {
+  const crash_notice notice{
+      {{7, true, {{1, false}, {2, true}}}, {~0ULL, false, {{3, false}}}}};
+  EXPECT_EQ(DecodeLoadMessage(EncodeLoadMessage(notice)), load_message(notice));
+}
+
 TEST_F(load_report_test, Subscription_Encoded_DecodesEqual) {
   const load_subscription subscription{vm_id("e1"), 99, seconds(1)};
   EXPECT_EQ(DecodeLoadMessage(EncodeLoadMessage(subscription)),
--- /dev/null
+++ b/tests/retry/crash_attribution_test.cc
@@ -0,0 +1,167 @@
+#include "fireflyslip/retry/crash_attribution.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace fireflyslip {
+namespace {
+
+using testing::ElementsAre;
+using testing::IsEmpty;
+
+class crash_attribution_test : public testing::Test {
+ protected:
+  static constexpr prompt_part kCrashing = 1;
+  static constexpr prompt_part kShared = 2;
+  static constexpr prompt_part kRare = 3;
+
+  /// The requests were about to begin when the upstream crashed.
+  void Crash(crash_id upstream,
+             const std::vector<std::vector<prompt_part>>& requests) {
+    std::vector<std::uint64_t> ids;
+    for (const auto& parts : requests) {
+      ids.push_back(++request_);
+      core_.AttemptStarted(request_, upstream, parts);
+    }
+    for (const std::uint64_t id : ids) {
+      core_.AttemptEnded(id, true, now_);
+    }
+    core_.UpstreamLost(upstream, now_ + milliseconds(50));
+  }
+
+  void Succeed(const std::vector<prompt_part>& parts) {
+    core_.AttemptStarted(++request_, 1000, parts);
+    core_.AttemptBegun(request_, now_);
+    core_.AttemptEnded(request_, false, now_);
+  }
+
+  time_point now_ = time_point(seconds(100));
+  std::uint64_t request_ = 0;
+  crash_attribution core_;
+};
+
+// Guards against a part of a prompt that crashes one upstream after another.
+TEST_F(crash_attribution_test, Crash_TwiceWithOnePart_BlocksIt) {
+  Succeed({kShared});
+  Crash(10, {{kShared, kCrashing}});
+  EXPECT_THAT(core_.blocked(), IsEmpty());
+  Crash(11, {{kShared, kCrashing}});
+  EXPECT_THAT(core_.blocked(), ElementsAre(kCrashing));
+}
+
+// Guards against blocking the parts that sound requests share with the cause.
+TEST_F(crash_attribution_test, Crash_ManyWithSharedPart_SharedPartNotBlocked) {
+  Succeed({kShared});
+  for (crash_id crash = 10; crash < 16; ++crash) {
+    Crash(crash, {{kShared, kCrashing}});
+  }
+  EXPECT_THAT(core_.blocked(), ElementsAre(kCrashing));
+}
+
+// Guards against blocking a part because of requests that only ran beside the
+// cause.
+TEST_F(crash_attribution_test, Crash_BystanderInTwo_OnlyCauseBlocked) {
+  Crash(10, {{kCrashing}, {kRare}});
+  Crash(11, {{kCrashing}, {kRare}});
+  Crash(12, {{kCrashing}});
+  EXPECT_THAT(core_.blocked(), ElementsAre(kCrashing));
+}
+
+// Guards against a block that stays although a request with the part begins.
+TEST_F(crash_attribution_test, Begin_AfterTwoCrashes_Unblocked) {
+  core_.AttemptStarted(500, 20, {kRare});
+  Crash(10, {{kRare}});
+  Crash(11, {{kRare}});
+  EXPECT_THAT(core_.blocked(), ElementsAre(kRare));
+  core_.AttemptBegun(500, now_);
+  EXPECT_THAT(core_.blocked(), IsEmpty());
+}
+
+// Guards against suspecting requests whose response had begun.
+TEST_F(crash_attribution_test, Crash_ResponseBegun_NotSuspected) {
+  for (crash_id crash = 10; crash < 14; ++crash) {
+    core_.AttemptStarted(++request_, crash, {kRare});
+    core_.AttemptBegun(request_, now_);
+    core_.AttemptEnded(request_, true, now_);
+    core_.UpstreamLost(crash, now_);
+  }
+  EXPECT_EQ(core_.size(), 0U);
+}
+
+// Guards against counting connections that a sound upstream or a link resets as
+// crashes.
+TEST_F(crash_attribution_test, Interrupted_UpstreamNotLost_NotSuspected) {
+  for (crash_id crash = 10; crash < 14; ++crash) {
+    core_.AttemptStarted(++request_, crash, {kRare});
+    core_.AttemptEnded(request_, true, now_);
+    now_ += seconds(2);
+    core_.UpstreamLost(crash, now_);
+  }
+  EXPECT_EQ(core_.size(), 0U);
+}
+
+// Guards against a crash that counts only if the report of the agent arrives
+// after the end of the connections.
+TEST_F(crash_attribution_test, Interrupted_AfterUpstreamLost_Suspected) {
+  for (crash_id crash = 10; crash < 12; ++crash) {
+    core_.AttemptStarted(++request_, crash, {kCrashing});
+    core_.UpstreamLost(crash, now_);
+    core_.AttemptEnded(request_, true, now_ + milliseconds(100));
+  }
+  EXPECT_THAT(core_.blocked(), ElementsAre(kCrashing));
+}
+
+// Guards against a part that would have to crash several upstreams per gateway:
+// each gateway sees only one of the crashes.
+TEST_F(crash_attribution_test, Merge_CrashSeenByAnotherGateway_Blocked) {
+  crash_attribution other;
+  other.AttemptStarted(1, 20, {kCrashing});
+  other.AttemptEnded(1, true, now_);
+  other.UpstreamLost(20, now_);
+  Crash(10, {{kCrashing}});
+  EXPECT_TRUE(core_.Merge(other.ChangedSince({}, 10), now_));
+  EXPECT_THAT(core_.blocked(), ElementsAre(kCrashing));
+  EXPECT_FALSE(core_.Merge(other.ChangedSince({}, 10), now_));
+  EXPECT_TRUE(other.Merge(core_.ChangedSince({}, 10), now_));
+  EXPECT_THAT(other.blocked(), ElementsAre(kCrashing));
+}
+
+// Guards against evidence from another gateway that blocks a part which is
+// answered here.
+TEST_F(crash_attribution_test, Merge_PartAnsweredHere_OtherBlocked) {
+  Succeed({kShared});
+  crash_attribution other;
+  for (crash_id crash = 20; crash < 22; ++crash) {
+    other.AttemptStarted(crash, crash, {kShared, kCrashing});
+    other.AttemptEnded(crash, true, now_);
+    other.UpstreamLost(crash, now_);
+  }
+  core_.Merge(other.ChangedSince({}, 10), now_);
+  EXPECT_THAT(core_.blocked(), ElementsAre(kCrashing));
+  other.Merge(core_.ChangedSince({}, 10), now_);
+  EXPECT_THAT(other.blocked(), ElementsAre(kCrashing));
+}
+
+// Guards against evidence that is kept for ever.
+TEST_F(crash_attribution_test, Evidence_LifetimeOver_Forgotten) {
+  Crash(10, {{kCrashing}});
+  Crash(11, {{kCrashing}});
+  now_ += std::chrono::minutes(3);
+  core_.Merge({}, now_);
+  EXPECT_THAT(core_.blocked(), IsEmpty());
+  EXPECT_EQ(core_.size(), 0U);
+}
+
+// Guards against memory that grows with the number of crashing requests.
+TEST_F(crash_attribution_test, Suspects_Many_Bounded) {
+  crash_attribution core(seconds(60), 4);
+  for (prompt_part part = 1; part < 100; ++part) {
+    core.AttemptStarted(part, part, {part});
+    core.AttemptEnded(part, true, now_);
+    core.UpstreamLost(part, now_);
+  }
+  EXPECT_LE(core.size(), 4U);
+}
+
+}  // namespace
+}  // namespace fireflyslip
--- /dev/null
+++ b/tests/retry/crash_replay_test.cc
@@ -0,0 +1,208 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "fireflyslip/core/random_source.h"
+#include "fireflyslip/retry/crash_attribution.h"
+
+namespace fireflyslip {
+namespace {
+
+/// \brief Gateways in front of upstreams, in steps of 10 ms. Some requests hold
+/// a part that crashes the upstream which begins to respond. Gateways exchange
+/// evidence every 0.1 s, and a tenth of these messages is lost.
+class crash_replay {
+ public:
+  static constexpr prompt_part kCrashing = 1'000'000;
+  static constexpr milliseconds kStep{10};
+
+  crash_replay(std::size_t gateways, std::size_t upstreams, std::uint64_t seed)
+      : random_(seed), gateways_(gateways), upstreams_(upstreams) {}
+
+  /// \param crashing fraction of the requests with the crashing part.
+  void Run(duration length, double requests_per_step, double crashing) {
+    for (const time_point end = now_ + length; now_ < end; now_ += kStep) {
+      for (double n = requests_per_step; random_.Fraction() < n; n -= 1) {
+        request added{{random_.Below(60), random_.Below(200) + 100}, 0};
+        if (random_.Fraction() < crashing) {
+          added.parts.push_back(kCrashing);
+        }
+        Send(random_.Below(gateways_.size()), std::move(added));
+      }
+      Advance();
+      if (now_.time_since_epoch() % milliseconds(100) == duration(0)) {
+        Exchange();
+      }
+    }
+  }
+
+  std::size_t crashes() const { return crashes_; }
+  /// \brief Requests with the crashing part that were sent later than 3 s after
+  /// the fifth crash.
+  std::size_t sent_after_notice() const { return sent_after_notice_; }
+  std::size_t sound_refused() const { return sound_refused_; }
+  std::size_t sound_begun() const { return sound_begun_; }
+
+ private:
+  struct request {
+    std::vector<prompt_part> parts;
+    int tried = 0;
+
+    bool crashing() const { return parts.back() == kCrashing; }
+  };
+  struct attempt {
+    std::size_t gateway = 0;
+    std::size_t upstream = 0;
+    request content;
+    time_point begins_at;
+  };
+  struct upstream_state {
+    crash_id incarnation = 0;
+    time_point back_at;
+  };
+
+  crash_id Incarnation(std::size_t upstream) const {
+    return upstream * 1000 + upstreams_[upstream].incarnation;
+  }
+
+  void Send(std::size_t gateway, request content) {
+    crash_attribution& core = gateways_[gateway];
+    if (core.IsBlocked(content.parts)) {
+      sound_refused_ += content.crashing() ? 0 : 1;
+      return;
+    }
+    std::vector<std::size_t> up;
+    for (std::size_t i = 0; i < upstreams_.size(); ++i) {
+      if (upstreams_[i].back_at <= now_) {
+        up.push_back(i);
+      }
+    }
+    if (up.empty()) {
+      return;
+    }
+    if (content.crashing() && fifth_crash_ &&
+        now_ > *fifth_crash_ + seconds(3)) {
+      ++sent_after_notice_;
+    }
+    ++content.tried;
+    const std::size_t upstream = up[random_.Below(up.size())];
+    const std::uint64_t id = ++next_id_;
+    core.AttemptStarted(id, Incarnation(upstream), content.parts);
+    attempts_[id] = {gateway, upstream, std::move(content),
+                     now_ + milliseconds(50 + random_.Below(300))};
+  }
+
+  void Advance() {
+    std::vector<std::uint64_t> due;
+    for (const auto& [id, running] : attempts_) {
+      if (running.begins_at <= now_) {
+        due.push_back(id);
+      }
+    }
+    for (const std::uint64_t id : due) {
+      const auto found = attempts_.find(id);
+      if (found == attempts_.end()) {
+        continue;  // interrupted by a crash in this step
+      }
+      if (found->second.content.crashing()) {
+        Crash(found->second.upstream);
+        continue;
+      }
+      crash_attribution& core = gateways_[found->second.gateway];
+      core.AttemptBegun(id, now_);
+      core.AttemptEnded(id, false, now_);
+      ++sound_begun_;
+      attempts_.erase(found);
+    }
+  }
+
+  void Crash(std::size_t upstream) {
+    ++crashes_;
+    if (crashes_ == 5) {
+      fifth_crash_ = now_;
+    }
+    const crash_id incarnation = Incarnation(upstream);
+    std::vector<attempt> interrupted;
+    std::erase_if(attempts_, [&](const auto& item) {
+      if (item.second.upstream != upstream) {
+        return false;
+      }
+      gateways_[item.second.gateway].AttemptEnded(item.first, true, now_);
+      interrupted.push_back(item.second);
+      return true;
+    });
+    upstreams_[upstream].back_at = now_ + seconds(3);
+    ++upstreams_[upstream].incarnation;
+    for (crash_attribution& core : gateways_) {
+      core.UpstreamLost(incarnation, now_ + milliseconds(50));
+    }
+    constexpr int kMaxAttempts = 2;
+    for (attempt& ended : interrupted) {
+      if (ended.content.tried < kMaxAttempts) {
+        Send(ended.gateway, std::move(ended.content));
+      }
+    }
+  }
+
+  void Exchange() {
+    std::vector<std::vector<crash_evidence>> messages;
+    for (const crash_attribution& core : gateways_) {
+      messages.push_back(core.ChangedSince(now_ - seconds(3), 24));
+    }
+    for (const auto& message : messages) {
+      for (crash_attribution& core : gateways_) {
+        if (random_.Below(10) != 0) {
+          core.Merge(message, now_);
+        }
+      }
+    }
+  }
+
+  random_source random_;
+  std::vector<crash_attribution> gateways_;
+  std::vector<upstream_state> upstreams_;
+  std::map<std::uint64_t, attempt> attempts_;
+  std::uint64_t next_id_ = 0;
+  time_point now_ = time_point(seconds(100));
+  std::size_t crashes_ = 0;
+  std::optional<time_point> fifth_crash_;
+  std::size_t sent_after_notice_ = 0;
+  std::size_t sound_refused_ = 0;
+  std::size_t sound_begun_ = 0;
+};
+
+class crash_replay_test : public testing::TestWithParam<std::uint64_t> {};
+
+// Guards against a part of prompts that crashes upstream after upstream, and
+// against refusing sound requests with the other parts of such prompts.
+TEST_P(crash_replay_test, CrashingPart_AtAnyGateway_BlockedForAllAndOnlyIt) {
+  constexpr double kCrashingFraction = 0.03;
+  crash_replay replay(8, 9, GetParam());
+  replay.Run(seconds(5), 1, 0);
+  replay.Run(seconds(20), 1, kCrashingFraction);
+  EXPECT_LE(replay.sent_after_notice(), 3U);
+  EXPECT_LE(replay.crashes(), 12U);
+  EXPECT_LT(replay.sound_refused() * 50, replay.sound_begun());
+}
+
+// Guards against messages to all other gateways of a large fleet that are too
+// late for the limit.
+TEST_P(crash_replay_test, CrashingPart_LargeFleet_BlockedForAll) {
+  constexpr double kCrashingFraction = 0.03;
+  crash_replay replay(44, 58, GetParam());
+  replay.Run(seconds(3), 6, 0);
+  replay.Run(seconds(10), 6, kCrashingFraction);
+  EXPECT_LE(replay.sent_after_notice(), 3U);
+  EXPECT_LT(replay.sound_refused() * 50, replay.sound_begun());
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds,
+                         crash_replay_test,
+                         testing::Range<std::uint64_t>(1, 9));
+
+}  // namespace
+}  // namespace fireflyslip
