Confirm the known state at once when a kind is followed again

A relay that had been idle, or a process whose watch was cut off, waited for the length of a watch until it knew that nothing had changed. Its view counted as stale meanwhile, and its followers assumed an outage of the platform, during which superseded weights stay in use.

The first watch after a failure, or after a time in which the kind was not followed, does not wait.

--- a/src/node/kind_watch.cc
+++ b/src/node/kind_watch.cc
@@ -17,6 +17,8 @@
 /// Timeout of a request in addition to its watch duration; a slow store takes
 /// up to 0.3 s.
 constexpr milliseconds kRequestTimeout{900};
+/// Duration of a watch that only confirms the known state.
+constexpr milliseconds kConfirmationWait{1};
 /// First delay after failed requests. Each request incurs a cost, and all
 /// processes resume at the same time when the store recovers.
 constexpr milliseconds kInitialBackoff{50};
@@ -50,6 +52,7 @@
 }
 
 void kind_watch::SetFollowing(bool following) {
+  confirmed_ &= following_ && following;
   following_ = following;
   following_changed_.cancel();
 }
@@ -86,9 +89,10 @@
 
 awaitable<void> kind_watch::Watch() {
   const time_point sent = MonotonicNow();
-  const auto answer =
-      co_await store_.Watch(settings_.kind, revision_, settings_.watch_duration,
-                            settings_.watch_duration + kRequestTimeout);
+  const duration wait =
+      confirmed_ ? settings_.watch_duration : duration(kConfirmationWait);
+  const auto answer = co_await store_.Watch(settings_.kind, revision_, wait,
+                                            wait + kRequestTimeout);
   if (!IsOk(answer)) {
     RecordFailure(ErrorOf(answer), sent);
     if (ErrorOf(answer).kind == error_kind::kNotFound) {
@@ -106,9 +110,8 @@
   }
   AdvanceRevision(changes.revision);
   // A watch that ends early without events was terminated by the store.
-  if (changes.changes.empty() &&
-      MonotonicNow() - sent >= settings_.watch_duration) {
-    freshness_.ConfirmEmptyWatch(sent, settings_.watch_duration);
+  if (changes.changes.empty() && MonotonicNow() - sent >= wait) {
+    freshness_.ConfirmEmptyWatch(sent, wait);
   } else {
     freshness_.ConfirmRead(sent);
   }
@@ -138,6 +141,7 @@
 }
 
 void kind_watch::RecordFailure(const error& problem, time_point sent) {
+  confirmed_ = false;
   if (++failures_ == 1) {
     failing_since_ = sent;
     LogLine("event=store_lost kind=" + settings_.kind + " reason=\"" +
@@ -156,6 +160,7 @@
   const duration outage =
       failures_ > 0 ? MonotonicNow() - failing_since_ : duration(0);
   failures_ = 0;
+  confirmed_ = true;
   handlers_.on_response(outage);
 }
 
--- a/src/node/kind_watch.h
+++ b/src/node/kind_watch.h
@@ -20,8 +20,9 @@
 ///
 /// While it follows the kind, it lists it unless a revision is known, then
 /// watches for changes; it lists again if the store has compacted the revision.
-/// Every response is reported, so that the age of the known state can be
-/// determined.
+/// The first watch after a failure, or after the kind was not followed, does
+/// not wait, so that the known state is confirmed at once. Every response is
+/// reported, so that the age of the known state can be determined.
 class kind_watch {
  public:
   struct settings {
@@ -84,6 +85,7 @@
   watch_freshness freshness_;
   boost::asio::steady_timer following_changed_;
   bool following_ = false;
+  bool confirmed_ = false;  // since the last failure, or since it is followed
   std::uint64_t revision_ = 0;  // 0 if the kind must be listed
   int failures_ = 0;            // consecutive
   time_point failing_since_;  // time at which the first failed request was sent
