Measure outages by the platform's responses, not by confirmed keys

A gateway took the time since the last confirmation of its API keys for the silence of the platform. Keys are confirmed only once the content of the configuration has been read, so a configuration that is unreadable or read slowly made the gateway assume an outage, in which requests may start on superseded weights, while the platform responded.

Every response of the store, and every answer of a relay with a current view, counts now. catalog_feed_test Configuration_Unreadable_PlatformResponds states it; without the change there was no such signal.

--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -186,6 +186,7 @@
   if (!answer.configuration || !answer.upstreams || !answer.versions) {
     return;
   }
+  handlers_.on_platform_responded();
   // A relay may know less than this process, which has followed another one.
   if (answer.upstreams->revision >= *known_revisions_.upstreams) {
     known_revisions_.upstreams = answer.upstreams->revision;
@@ -250,7 +251,9 @@
 
 kind_watch::handlers catalog_feed::ConfigurationHandlers() {
   kind_watch::handlers callbacks;
-  callbacks.on_response = [](duration) {};
+  callbacks.on_response = [this](duration) {
+    handlers_.on_platform_responded();
+  };
   callbacks.on_list = [this](const platform::store_listing& listing) {
     for (const platform::store_object& object : listing.objects) {
       ApplyConfigurationObject(object);
@@ -285,6 +288,7 @@
 kind_watch::handlers catalog_feed::UpstreamHandlers() {
   kind_watch::handlers callbacks;
   callbacks.on_response = [this](duration outage) {
+    handlers_.on_platform_responded();
     HandleUpstreams(upstream_registry::platform_responded{outage});
   };
   callbacks.on_list = [this](const platform::store_listing& listing) {
@@ -334,7 +338,9 @@
 
 kind_watch::handlers catalog_feed::VersionHandlers() {
   kind_watch::handlers callbacks;
-  callbacks.on_response = [](duration) {};
+  callbacks.on_response = [this](duration) {
+    handlers_.on_platform_responded();
+  };
   callbacks.on_list = [this](const platform::store_listing& listing) {
     for (const platform::store_object& object : listing.objects) {
       ApplyTargetVersion(object);
--- a/src/gateway/catalog_feed.h
+++ b/src/gateway/catalog_feed.h
@@ -30,6 +30,8 @@
     std::function<
         void(model_name, std::uint64_t version, time_point published_at)>
         on_target_version;
+    /// The platform responded, or a relay with a current view of it.
+    std::function<void()> on_platform_responded;
     /// All key revocations up to this time are known.
     std::function<void(time_point)> on_keys_confirmed;
   };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -177,6 +177,9 @@
 
 void gateway::ConfirmKeys(time_point current_as_of) {
   keys_current_as_of_ = current_as_of;
+}
+
+void gateway::RecordPlatformResponse() {
   Handle(dispatcher::platform_responded{});
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -44,6 +44,7 @@
                         std::uint64_t version,
                         time_point published_at);
   void ConfirmKeys(time_point current_as_of);
+  void RecordPlatformResponse();
 
   /// \brief Starts draining: connections are closed after their next response.
   void DisableKeepAlive();
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -116,6 +116,9 @@
         traffic_gateway_->SetTargetVersion(model, version, published_at);
       });
     };
+    callbacks.on_platform_responded = [this] {
+      traffic_.Post([this] { traffic_gateway_->RecordPlatformResponse(); });
+    };
     callbacks.on_keys_confirmed = [this](time_point current_as_of) {
       traffic_.Post([this, current_as_of] {
         traffic_gateway_->ConfirmKeys(current_as_of);
