Correct expiry, capacity and ties of crash evidence

Found in review of the attribution of crashes, before it was in use:

- One request and its retry make two crashes; a sound part that was in both by coincidence was blocked with the cause, and stayed blocked, since no further crash told them apart.
With several equal parts, a third crash is needed now.
- Evidence expired only on other events, which a blocked part prevents, and started a new lifetime at each process that received it, so processes could keep it alive.
It carries its age now, and owners expire it periodically.
- Beyond 24 changed parts the same ones were sent again and again, and a full memory dropped the newest parts, possibly the cause.
Evidence is split into several datagrams; cleared records and crashes are replaced first.
- The memory of answered parts could grow without bound.
- A gateway that restarted within 3 s was not sent earlier evidence.
- Responses that are not streams did not clear the parts of their requests.

New tests: Crash_TwoPartsInBoth_NoneBlockedUntilThird, Merge_OldEvidence_LifetimeNotRenewed, Suspects_ManyCleared_CauseStillRecorded, CrashNotice_Large_SplitToFit; the lifetime test calls Expire() instead of an empty Merge(). The restart of a gateway and plain responses have no test.

--- a/include/fireflyslip/retry/crash_attribution.h
+++ b/include/fireflyslip/retry/crash_attribution.h
@@ -31,6 +31,8 @@
   /// Crashes at which a request with the part was about to begin its response;
   /// the value is true if another one has begun since.
   std::map<crash_id, bool> crashes;
+  /// Time since it changed at the gateway that has the latest change.
+  duration age = {};
 
   bool operator==(const crash_evidence&) const = default;
 };
@@ -67,10 +69,13 @@
   /// \brief Adds evidence of another gateway; returns whether it was new.
   bool Merge(const std::vector<crash_evidence>& evidence, time_point now);
 
-  /// \brief Evidence that changed later than `since`, blocked parts first, at
-  /// most `limit`.
+  /// \brief Removes evidence whose lifetime is over. Must be called now and
+  /// then, because blocked requests cause no other event.
+  void Expire(time_point now);
+
+  /// \brief Evidence that this process learned or changed later than `since`.
   std::vector<crash_evidence> ChangedSince(time_point since,
-                                           std::size_t limit) const;
+                                           time_point now) const;
 
   bool IsBlocked(const std::vector<prompt_part>& parts) const;
   const std::set<prompt_part>& blocked() const { return blocked_; }
@@ -89,13 +94,18 @@
   };
   struct record {
     crash_evidence evidence;
-    time_point changed_at;
+    time_point changed_at;   // anywhere; starts the lifetime
+    time_point received_at;  // of the last change here
   };
 
   void Suspect(const std::vector<prompt_part>& parts,
                crash_id crash,
                time_point now);
-  void Expire(time_point now);
+  /// \brief Record of a part; null if there is no capacity.
+  record* FindOrAdd(prompt_part part);
+  bool HasBegun(prompt_part part) const {
+    return begun_.contains(part) || begun_earlier_.contains(part);
+  }
   void UpdateBlocked();
 
   duration lifetime_;
@@ -104,7 +114,10 @@
   std::vector<interrupted_attempt> interrupted_;  // in order of time
   std::map<crash_id, time_point> lost_;
   std::map<prompt_part, record> records_;
-  std::map<prompt_part, time_point> begun_;  // parts seen to begin
+  // Parts of requests that have begun here. The older half of them is dropped
+  // when there are too many.
+  std::set<prompt_part> begun_;
+  std::set<prompt_part> begun_earlier_;
   std::set<prompt_part> blocked_;
 };
 
--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -43,17 +43,16 @@
   }
 }
 
-std::optional<crash_notice> crash_monitor::TakeNotice(time_point now) {
-  crash_notice notice{
-      attribution_.ChangedSince(taken_at_, kMaxEvidencePerNotice)};
+crash_notice crash_monitor::TakeNotice(time_point now) {
+  attribution_.Expire(now);
+  LogBlocked();
+  crash_notice notice{attribution_.ChangedSince(taken_at_, now)};
   taken_at_ = now;
-  return notice.evidence.empty() ? std::nullopt : std::optional(notice);
+  return notice;
 }
 
-std::optional<crash_notice> crash_monitor::RecentNotice(time_point now) const {
-  crash_notice notice{attribution_.ChangedSince(now - kEvidenceRepeatTime,
-                                                kMaxEvidencePerNotice)};
-  return notice.evidence.empty() ? std::nullopt : std::optional(notice);
+crash_notice crash_monitor::RecentNotice(time_point now) const {
+  return {attribution_.ChangedSince(now - kEvidenceRepeatTime, now)};
 }
 
 void crash_monitor::LogBlocked() {
--- a/src/gateway/crash_monitor.h
+++ b/src/gateway/crash_monitor.h
@@ -2,7 +2,6 @@
 #define FIREFLYSLIP_GATEWAY_CRASH_MONITOR_H_
 
 #include <cstdint>
-#include <optional>
 #include <set>
 #include <vector>
 
@@ -31,11 +30,11 @@
     return attribution_.IsBlocked(parts);
   }
 
-  /// \brief Evidence that has changed since the last call; empty if none has.
-  std::optional<crash_notice> TakeNotice(time_point now);
+  /// \brief Evidence that has changed since the last call.
+  crash_notice TakeNotice(time_point now);
   /// \brief Evidence that has changed recently, to be sent once more, because
   /// datagrams may be lost.
-  std::optional<crash_notice> RecentNotice(time_point now) const;
+  crash_notice RecentNotice(time_point now) const;
 
  private:
   void LogBlocked();
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -399,6 +399,7 @@
     report.upstream_response = std::move(response);
     co_return report;
   }
+  gateway_.crashes().AttemptBegun(id_, MonotonicNow());
   response_delay_ = MonotonicNow() - received_at_;
   status_ = response.status;
   outcome_ = "answered";
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -105,9 +105,7 @@
   timers_.SubscribePeriodic(kSubscribeInterval,
                             [this] { SubscribeToReports(); });
   timers_.SubscribePeriodic(kCrashNoticeInterval, [this] {
-    if (const auto notice = crashes_.TakeNotice(MonotonicNow())) {
-      SendToStagers(*notice);
-    }
+    SendToStagers(crashes_.TakeNotice(MonotonicNow()));
   });
   timers_.SubscribePeriodic(kObservationInterval, [this] { Observe(); });
 }
@@ -296,12 +294,14 @@
   if (!monitored_ || !report_socket_.is_open()) {
     return;
   }
-  const std::vector<std::uint8_t> datagram = EncodeLoadMessage(notice);
-  for (const auto& [id, entry] : *monitored_) {
-    if (const auto endpoint = StagerEndpoint(entry)) {
-      boost::system::error_code ignored;  // repeated with the subscriptions
-      report_socket_.send_to(boost::asio::buffer(datagram), *endpoint, 0,
-                             ignored);
+  for (const crash_notice& part : SplitNotice(notice)) {
+    const std::vector<std::uint8_t> datagram = EncodeLoadMessage(part);
+    for (const auto& [id, entry] : *monitored_) {
+      if (const auto endpoint = StagerEndpoint(entry)) {
+        boost::system::error_code ignored;  // repeated with the subscriptions
+        report_socket_.send_to(boost::asio::buffer(datagram), *endpoint, 0,
+                               ignored);
+      }
     }
   }
 }
@@ -338,9 +338,7 @@
     report_socket_.send_to(boost::asio::buffer(subscription), *stager_endpoint,
                            0, ignored);
   }
-  if (const auto notice = crashes_.RecentNotice(MonotonicNow())) {
-    SendToStagers(*notice);
-  }
+  SendToStagers(crashes_.RecentNotice(MonotonicNow()));
 }
 
 void gateway::Apply(const dispatcher::action& action) {
--- a/src/node/load_report.cc
+++ b/src/node/load_report.cc
@@ -15,7 +15,7 @@
 constexpr int kReportType = 2;
 constexpr int kCrashNoticeType = 3;
 /// Elements of the evidence of one part before its crashes.
-constexpr std::size_t kEvidenceHeaderSize = 2;
+constexpr std::size_t kEvidenceHeaderSize = 3;
 constexpr std::size_t kSubscriptionSize = 4;
 constexpr std::size_t kReportSize = 9;
 
@@ -36,7 +36,8 @@
 }
 
 json EncodeEvidence(const crash_evidence& evidence) {
-  json item = json::array({evidence.part, evidence.begun_before});
+  json item = json::array({evidence.part, evidence.begun_before,
+                           static_cast<std::uint64_t>(evidence.age.count())});
   for (const auto& [crash, cleared] : evidence.crashes) {
     item.push_back(crash);
     item.push_back(cleared);
@@ -46,12 +47,13 @@
 
 std::optional<crash_evidence> DecodeEvidence(const json& item) {
   if (!item.is_array() || item.size() < kEvidenceHeaderSize ||
-      !IsUnsigned(item[0]) || !item[1].is_boolean()) {
+      !IsUnsigned(item[0]) || !item[1].is_boolean() || !IsUnsigned(item[2])) {
     return std::nullopt;
   }
   crash_evidence evidence;
   evidence.part = item[0].get<prompt_part>();
   evidence.begun_before = item[1].get<bool>();
+  evidence.age = duration(item[2].get<duration::rep>());
   for (std::size_t i = kEvidenceHeaderSize; i + 1 < item.size(); i += 2) {
     if (!IsUnsigned(item[i]) || !item[i + 1].is_boolean()) {
       return std::nullopt;
@@ -114,6 +116,18 @@
   return json::to_cbor(value);
 }
 
+std::vector<crash_notice> SplitNotice(const crash_notice& notice) {
+  std::vector<crash_notice> parts;
+  for (const crash_evidence& evidence : notice.evidence) {
+    if (parts.empty() ||
+        parts.back().evidence.size() == kMaxEvidencePerNotice) {
+      parts.emplace_back();
+    }
+    parts.back().evidence.push_back(evidence);
+  }
+  return parts;
+}
+
 std::optional<load_message> DecodeLoadMessage(
     std::span<const std::uint8_t> datagram) {
   const json value =
--- a/src/node/load_report.h
+++ b/src/node/load_report.h
@@ -56,6 +56,9 @@
 /// \brief Encodes a message as one CBOR datagram.
 std::vector<std::uint8_t> EncodeLoadMessage(const load_message& message);
 
+/// \brief Splits evidence into notices that fit into a datagram each.
+std::vector<crash_notice> SplitNotice(const crash_notice& notice);
+
 /// \brief Decodes a datagram; empty if it is malformed.
 std::optional<load_message> DecodeLoadMessage(
     std::span<const std::uint8_t> datagram);
--- a/src/retry/crash_attribution.cc
+++ b/src/retry/crash_attribution.cc
@@ -1,7 +1,6 @@
 #include "fireflyslip/retry/crash_attribution.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 #include "fireflyslip/core/hash.h"
@@ -54,7 +53,7 @@
   found->second.begun = true;
   bool changed = false;
   for (const prompt_part part : found->second.parts) {
-    begun_[part] = now;
+    begun_.insert(part);
     const auto suspected = records_.find(part);
     if (suspected == records_.end()) {
       continue;
@@ -63,18 +62,17 @@
       if (!cleared) {
         cleared = true;
         suspected->second.changed_at = now;
+        suspected->second.received_at = now;
         changed = true;
       }
     }
   }
+  if (begun_.size() > kMaxBegunParts / 2) {
+    begun_earlier_ = std::exchange(begun_, {});
+  }
   if (changed) {
     UpdateBlocked();
   }
-  if (begun_.size() > kMaxBegunParts) {
-    begun_.erase(std::min_element(
-        begun_.begin(), begun_.end(),
-        [](const auto& a, const auto& b) { return a.second < b.second; }));
-  }
 }
 
 void crash_attribution::AttemptEnded(std::uint64_t request,
@@ -118,22 +116,24 @@
   Expire(now);
   bool changed = false;
   for (const crash_evidence& other : evidence) {
-    if (!records_.contains(other.part) && records_.size() >= bound_) {
+    if (other.age > lifetime_) {
+      continue;
+    }
+    record* const own = FindOrAdd(other.part);
+    if (own == nullptr) {
       continue;
     }
-    record& own = records_[other.part];
-    const crash_evidence before = own.evidence;
-    own.evidence.part = other.part;
-    own.evidence.begun_before |=
-        other.begun_before || begun_.contains(other.part);
+    const crash_evidence before = own->evidence;
+    own->evidence.begun_before |= other.begun_before || HasBegun(other.part);
     for (const auto& [crash, cleared] : other.crashes) {
-      if (own.evidence.crashes.contains(crash) ||
-          own.evidence.crashes.size() < kMaxCrashes) {
-        own.evidence.crashes[crash] |= cleared;
+      if (own->evidence.crashes.contains(crash) ||
+          own->evidence.crashes.size() < kMaxCrashes) {
+        own->evidence.crashes[crash] |= cleared;
       }
     }
-    if (own.evidence != before) {
-      own.changed_at = now;
+    if (own->evidence != before) {
+      own->changed_at = std::max(own->changed_at, now - other.age);
+      own->received_at = now;
       changed = true;
     }
   }
@@ -145,26 +145,12 @@
 
 std::vector<crash_evidence> crash_attribution::ChangedSince(
     time_point since,
-    std::size_t limit) const {
-  std::vector<const record*> changed;
-  for (const auto& [part, known] : records_) {
-    if (known.changed_at > since) {
-      changed.push_back(&known);
-    }
-  }
-  std::sort(
-      changed.begin(), changed.end(), [this](const auto* a, const auto* b) {
-        const auto rank = [this](const record& item) {
-          return std::make_tuple(!blocked_.contains(item.evidence.part),
-                                 -item.changed_at.time_since_epoch().count(),
-                                 item.evidence.part);
-        };
-        return rank(*a) < rank(*b);
-      });
+    time_point now) const {
   std::vector<crash_evidence> evidence;
-  for (const record* item : changed) {
-    if (evidence.size() < limit) {
-      evidence.push_back(item->evidence);
+  for (const auto& [part, known] : records_) {
+    if (known.received_at > since) {
+      evidence.push_back(known.evidence);
+      evidence.back().age = now - known.changed_at;
     }
   }
   return evidence;
@@ -180,27 +166,50 @@
                                 crash_id crash,
                                 time_point now) {
   for (const prompt_part part : parts) {
-    if (!records_.contains(part) && records_.size() >= bound_) {
+    record* const own = FindOrAdd(part);
+    if (own == nullptr) {
       continue;
     }
-    record& own = records_[part];
-    own.evidence.part = part;
-    own.evidence.begun_before |= begun_.contains(part);
-    if (own.evidence.crashes.size() < kMaxCrashes) {
-      own.evidence.crashes.try_emplace(crash, false);
+    own->evidence.begun_before |= HasBegun(part);
+    std::map<crash_id, bool>& crashes = own->evidence.crashes;
+    if (crashes.size() == kMaxCrashes) {
+      const auto cleared =
+          std::find_if(crashes.begin(), crashes.end(),
+                       [](const auto& item) { return item.second; });
+      crashes.erase(cleared == crashes.end() ? crashes.begin() : cleared);
     }
-    own.changed_at = now;
+    crashes.try_emplace(crash, false);
+    own->changed_at = now;
+    own->received_at = now;
   }
 }
 
+crash_attribution::record* crash_attribution::FindOrAdd(prompt_part part) {
+  const auto found = records_.find(part);
+  if (found != records_.end()) {
+    return &found->second;
+  }
+  if (records_.size() >= bound_) {
+    const auto cleared =
+        std::find_if(records_.begin(), records_.end(), [](const auto& item) {
+          return UnclearedCrashes(item.second.evidence).empty();
+        });
+    if (cleared == records_.end()) {
+      return nullptr;
+    }
+    records_.erase(cleared);
+  }
+  record& added = records_[part];
+  added.evidence.part = part;
+  return &added;
+}
+
 void crash_attribution::Expire(time_point now) {
   std::erase_if(interrupted_, [now](const interrupted_attempt& ended) {
     return now - ended.at > kReportDelay;
   });
   std::erase_if(
       lost_, [&](const auto& item) { return now - item.second > lifetime_; });
-  std::erase_if(
-      begun_, [&](const auto& item) { return now - item.second > lifetime_; });
   const std::size_t expired = std::erase_if(records_, [&](const auto& item) {
     return now - item.second.changed_at > lifetime_;
   });
@@ -234,7 +243,10 @@
       }
       causes.push_back(part);
     }
-    if (causes.empty()) {
+    // With few crashes, several parts may be in all of them by coincidence.
+    const bool ambiguous =
+        causes.size() > 1 && highest.first < kBlockingCrashesIfBegunBefore;
+    if (causes.empty() || ambiguous) {
       return;
     }
     std::set<crash_id> explained;
--- a/src/stager/load_publisher.cc
+++ b/src/stager/load_publisher.cc
@@ -24,6 +24,8 @@
 constexpr milliseconds kMaxPollInterval{300};
 /// Gateways renew their subscriptions at least once a second.
 constexpr seconds kSubscriptionLifetime{3};
+/// A longer gap between two subscriptions may be a restart of the gateway.
+constexpr milliseconds kMaxSubscriptionGap{1200};
 /// A replica responds to its own VM within a millisecond, even under full load.
 constexpr milliseconds kReadTimeout{500};
 
@@ -89,14 +91,16 @@
 void load_publisher::OnSubscription(const load_subscription& subscription,
                                     const udp::endpoint& from) {
   const time_point now = MonotonicNow();
-  const auto [found, is_new] =
-      subscribers_.try_emplace(subscription.subscriber);
-  subscriber& record = found->second;
+  subscriber& record = subscribers_[subscription.subscriber];
+  const bool may_be_restarted =
+      now - record.subscribed_at > kMaxSubscriptionGap;
   record.endpoint = from;
   record.subscribed_at = now;
   record.sent_us = subscription.sent_us;
   record.interval = subscription.interval;
-  SendEvidence(is_new ? time_point() : now - kEvidenceRepeatTime, from);
+  crashes_.Expire(now);
+  SendEvidence(may_be_restarted ? time_point() : now - kEvidenceRepeatTime,
+               from);
 }
 
 void load_publisher::OnCrashNotice(const crash_notice& notice) {
@@ -112,13 +116,12 @@
 void load_publisher::SendEvidence(time_point changed_since,
                                   const udp::endpoint& to) {
   const crash_notice notice{
-      crashes_.ChangedSince(changed_since, kMaxEvidencePerNotice)};
-  if (notice.evidence.empty()) {
-    return;
+      crashes_.ChangedSince(changed_since, MonotonicNow())};
+  for (const crash_notice& part : SplitNotice(notice)) {
+    const std::vector<std::uint8_t> datagram = EncodeLoadMessage(part);
+    boost::system::error_code ignored;  // repeated at the next subscription
+    socket_.send_to(boost::asio::buffer(datagram), to, 0, ignored);
   }
-  const std::vector<std::uint8_t> datagram = EncodeLoadMessage(notice);
-  boost::system::error_code ignored;  // repeated at the next subscription
-  socket_.send_to(boost::asio::buffer(datagram), to, 0, ignored);
 }
 
 awaitable<void> load_publisher::Poll() {
--- a/tests/node/load_report_test.cc
+++ b/tests/node/load_report_test.cc
@@ -21,11 +21,33 @@
 }
 
 TEST_F(load_report_test, CrashNotice_Encoded_DecodesEqual) {
-  const crash_notice notice{
-      {{7, true, {{1, false}, {2, true}}}, {~0ULL, false, {{3, false}}}}};
+  const crash_notice notice{{{7, true, {{1, false}, {2, true}}, seconds(1)},
+                             {~0ULL, false, {{3, false}}, {}}}};
   EXPECT_EQ(DecodeLoadMessage(EncodeLoadMessage(notice)), load_message(notice));
 }
 
+// Guards against evidence that is never sent because there is too much of it,
+// and against datagrams that the receiver cuts off.
+TEST_F(load_report_test, CrashNotice_Large_SplitToFit) {
+  crash_notice notice;
+  for (std::uint64_t part = 1; part <= 256; ++part) {
+    crash_evidence evidence{~0ULL - part, false, {}, seconds(100)};
+    for (std::uint64_t crash = 1; crash <= 8; ++crash) {
+      evidence.crashes[~0ULL - crash] = true;
+    }
+    notice.evidence.push_back(evidence);
+  }
+  std::size_t received = 0;
+  for (const crash_notice& part : SplitNotice(notice)) {
+    const std::vector<std::uint8_t> datagram = EncodeLoadMessage(part);
+    EXPECT_LE(datagram.size(), kMaxLoadDatagramBytes);
+    const auto decoded = DecodeLoadMessage(datagram);
+    ASSERT_TRUE(decoded);
+    received += std::get<crash_notice>(*decoded).evidence.size();
+  }
+  EXPECT_EQ(received, notice.evidence.size());
+}
+
 TEST_F(load_report_test, Subscription_Encoded_DecodesEqual) {
   const load_subscription subscription{vm_id("e1"), 99, seconds(1)};
   EXPECT_EQ(DecodeLoadMessage(EncodeLoadMessage(subscription)),
--- a/tests/retry/crash_attribution_test.cc
+++ b/tests/retry/crash_attribution_test.cc
@@ -119,10 +119,10 @@
   other.AttemptEnded(1, true, now_);
   other.UpstreamLost(20, now_);
   Crash(10, {{kCrashing}});
-  EXPECT_TRUE(core_.Merge(other.ChangedSince({}, 10), now_));
+  EXPECT_TRUE(core_.Merge(other.ChangedSince({}, now_), now_));
   EXPECT_THAT(core_.blocked(), ElementsAre(kCrashing));
-  EXPECT_FALSE(core_.Merge(other.ChangedSince({}, 10), now_));
-  EXPECT_TRUE(other.Merge(core_.ChangedSince({}, 10), now_));
+  EXPECT_FALSE(core_.Merge(other.ChangedSince({}, now_), now_));
+  EXPECT_TRUE(other.Merge(core_.ChangedSince({}, now_), now_));
   EXPECT_THAT(other.blocked(), ElementsAre(kCrashing));
 }
 
@@ -136,18 +136,61 @@
     other.AttemptEnded(crash, true, now_);
     other.UpstreamLost(crash, now_);
   }
-  core_.Merge(other.ChangedSince({}, 10), now_);
+  core_.Merge(other.ChangedSince({}, now_), now_);
   EXPECT_THAT(core_.blocked(), ElementsAre(kCrashing));
-  other.Merge(core_.ChangedSince({}, 10), now_);
+  other.Merge(core_.ChangedSince({}, now_), now_);
   EXPECT_THAT(other.blocked(), ElementsAre(kCrashing));
 }
 
+// Guards against blocking sound parts with the cause, because one request and
+// its retry met the same requests twice.
+TEST_F(crash_attribution_test, Crash_TwoPartsInBoth_NoneBlockedUntilThird) {
+  Crash(10, {{kCrashing}, {kRare}});
+  Crash(11, {{kCrashing}, {kRare}});
+  EXPECT_THAT(core_.blocked(), IsEmpty());
+  Crash(12, {{kCrashing}});
+  EXPECT_THAT(core_.blocked(), ElementsAre(kCrashing));
+}
+
+// Guards against evidence that gateways keep alive by sending it to each other.
+TEST_F(crash_attribution_test, Merge_OldEvidence_LifetimeNotRenewed) {
+  Crash(10, {{kCrashing}});
+  Crash(11, {{kCrashing}});
+  now_ += seconds(100);
+  crash_attribution other;
+  EXPECT_TRUE(other.Merge(core_.ChangedSince({}, now_), now_));
+  EXPECT_TRUE(other.IsBlocked({kCrashing}));
+  now_ += seconds(30);
+  other.Expire(now_);
+  EXPECT_FALSE(other.IsBlocked({kCrashing}));
+}
+
+// Guards against a cause that is not recorded because cleared evidence of sound
+// parts fills the memory.
+TEST_F(crash_attribution_test, Suspects_ManyCleared_CauseStillRecorded) {
+  crash_attribution core(seconds(60), 4);
+  for (prompt_part part = 10; part < 20; ++part) {
+    core.AttemptStarted(part, part, {part});
+    core.AttemptEnded(part, true, now_);
+    core.UpstreamLost(part, now_);
+    core.AttemptStarted(part, 1000, {part});
+    core.AttemptBegun(part, now_);
+    core.AttemptEnded(part, false, now_);
+  }
+  for (crash_id crash = 30; crash < 32; ++crash) {
+    core.AttemptStarted(crash, crash, {kCrashing});
+    core.AttemptEnded(crash, true, now_);
+    core.UpstreamLost(crash, now_);
+  }
+  EXPECT_THAT(core.blocked(), ElementsAre(kCrashing));
+}
+
 // Guards against evidence that is kept for ever.
 TEST_F(crash_attribution_test, Evidence_LifetimeOver_Forgotten) {
   Crash(10, {{kCrashing}});
   Crash(11, {{kCrashing}});
   now_ += std::chrono::minutes(3);
-  core_.Merge({}, now_);
+  core_.Expire(now_);
   EXPECT_THAT(core_.blocked(), IsEmpty());
   EXPECT_EQ(core_.size(), 0U);
 }
--- a/tests/retry/crash_replay_test.cc
+++ b/tests/retry/crash_replay_test.cc
@@ -151,7 +151,7 @@
   void Exchange() {
     std::vector<std::vector<crash_evidence>> messages;
     for (const crash_attribution& core : gateways_) {
-      messages.push_back(core.ChangedSince(now_ - seconds(3), 24));
+      messages.push_back(core.ChangedSince(now_ - seconds(3), now_));
     }
     for (const auto& message : messages) {
       for (crash_attribution& core : gateways_) {
