--- a/include/fireflyslip/retry/crash_attribution.h
+++ b/include/fireflyslip/retry/crash_attribution.h
@@ -31,7 +31,7 @@
   /// Crashes at which a request with the part was about to begin its response;
   /// the value is true if another one has begun since.
   std::map<crash_id, bool> crashes;
-  /// Time since it changed at the gateway that has the latest change.
+  /// Time since its latest change at any gateway, when it was sent.
   duration age = {};
 
   bool operator==(const crash_evidence&) const = default;
@@ -43,8 +43,8 @@
 /// Load pattern: one part of a prompt crashes each upstream that begins to
 /// respond to it. No two requests with it are alike, and sound requests share
 /// all of their other parts. A request that has begun its response is not the
-/// cause of a crash, and each request that begins clears its parts. A crash
-/// that a blocked part explains does not count against other parts.
+/// cause of a crash, and each response that begins clears the parts of its
+/// request. A crash that a blocked part explains does not count against others.
 ///
 /// The owner exchanges the evidence with other gateways, since each one sees
 /// only its own requests.
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "fireflyslip/core/hash.h"
 #include "fireflyslip/http.h"
 
 namespace fireflyslip {
@@ -385,6 +386,28 @@
   EXPECT_TRUE(stalled.client_closed);
 }
 
+// Guards against requests with a part of a prompt that crashes replicas: they
+// are refused without reaching one, and others with its caller and first part
+// are served.
+TEST_F(gateway_test, PromptPart_CrashedTwoReplicas_RefusedWithoutSending) {
+  Configure();
+  upstream& replica = AddUpstream(Stream("id: 1\ndata: a\n\n", true));
+  const crash_evidence evidence{
+      StableHash("bad"), false, {{1, false}, {2, false}}};
+  gateway_->crashes().OnNotice({{evidence}}, MonotonicNow());
+  http_request crashing = MakeRequest("/chat/1");
+  crashing.fields.push_back({"Prompt-Prefix", "first:10,bad:20,own:30"});
+  const auto refused = Call(std::move(crashing));
+  ASSERT_TRUE(IsOk(refused));
+  EXPECT_EQ(ValueOf(refused).status, 422);
+  EXPECT_TRUE(replica.received.empty());
+  http_request sound = MakeRequest("/chat/1");
+  sound.fields.push_back({"Prompt-Prefix", "first:10,good:20,own:30"});
+  const auto answer = Call(std::move(sound));
+  ASSERT_TRUE(IsOk(answer));
+  EXPECT_EQ(ValueOf(answer).status, 200);
+}
+
 // Guards against cutting a stream that is slow but makes progress: it lasts
 // longer than the time after which one without events is resumed.
 TEST_F(gateway_test, Stream_SlowEvents_NotCut) {
