--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -397,13 +397,13 @@
   gateway_->crashes().OnNotice({{evidence}}, MonotonicNow());
   http_request crashing = MakeRequest("/chat/1");
   crashing.fields.push_back({"Prompt-Prefix", "first:10,bad:20,own:30"});
-  const auto refused = Call(std::move(crashing));
+  const auto refused = Call(crashing);
   ASSERT_TRUE(IsOk(refused));
   EXPECT_EQ(ValueOf(refused).status, 422);
   EXPECT_TRUE(replica.received.empty());
   http_request sound = MakeRequest("/chat/1");
   sound.fields.push_back({"Prompt-Prefix", "first:10,good:20,own:30"});
-  const auto answer = Call(std::move(sound));
+  const auto answer = Call(sound);
   ASSERT_TRUE(IsOk(answer));
   EXPECT_EQ(ValueOf(answer).status, 200);
 }
