Derive the assumed age of versions at a start from the startup grace

A gateway that has just started does not know when a version that it finds was published, and assumed 0.55 of the rollout timeout. It thus used superseded weights for 0.4 of that timeout after its start (3.2 s of 8 s), also where the platform allows less.

The assumed age now leaves at most startup_grace_ms, which the platform sets. The test of four values fails with the former formula.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -37,10 +37,6 @@
 constexpr double kRetryAllowanceFraction = 0.5;
 /// Assumed number of gateways until reports tell it.
 constexpr double kDefaultGatewayCount = 16;
-/// Fraction of the rollout timeout during which requests may start on a
-/// superseded version; the rest is for the notification of a new version and
-/// for the latency to a replica.
-constexpr double kRolloutFraction = 0.95;
 /// Interval at which new evidence of crashes is sent to the stagers.
 constexpr milliseconds kCrashNoticeInterval{100};
 constexpr std::size_t kMaxClientConnections = 3000;
@@ -86,8 +82,7 @@
 dispatcher MakeDispatcher(const node_settings& settings, std::uint64_t seed) {
   placement_policy policy;
   policy.data_centre = settings.data_centre;
-  return {std::move(policy),
-          version_targets(Scale(settings.rollout_timeout, kRolloutFraction)),
+  return {std::move(policy), version_targets(settings.SupersededAfter()),
           random_source(seed)};
 }
 
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -72,6 +72,8 @@
       reader, "key_revocation_ms", settings.key_revocation_timeout);
   settings.rollout_timeout =
       ReadMilliseconds(reader, "rollout_ms", settings.rollout_timeout);
+  settings.startup_grace =
+      ReadMilliseconds(reader, "startup_grace_ms", settings.startup_grace);
   if (auto ratio = reader.Number("retry_ratio", false, {0, true, 1, true})) {
     settings.retry_ratio = *ratio;
   }
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -1,6 +1,7 @@
 #ifndef FIREFLYSLIP_NODE_NODE_SETTINGS_H_
 #define FIREFLYSLIP_NODE_NODE_SETTINGS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -41,6 +42,10 @@
   duration key_revocation_timeout = seconds(5);
   /// Time after which a request must not start on a superseded version.
   duration rollout_timeout = seconds(8);
+  /// Time after the start of a gateway in which it may start requests on
+  /// superseded versions, because it does not know when a version that it finds
+  /// was published.
+  duration startup_grace = seconds(3);
   double retry_ratio = 0.2;  ///< Retries per request.
   duration retry_window = seconds(10);
   double retry_allowance = 100;  ///< Additional retries, all gateways.
@@ -63,9 +68,16 @@
   /// the known versions, and thus how early older ones are given up after a
   /// delayed notice.
   duration VersionWatch() const { return rollout_timeout * 3 / 10; }
+  /// \brief Time after its publication from which a version replaces older
+  /// ones; the rest of the timeout is for the notification and for the latency
+  /// to a replica.
+  duration SupersededAfter() const { return rollout_timeout * 19 / 20; }
   /// \brief Assumed age, at the start of a process, of versions that it then
   /// finds published.
-  duration InitialVersionAge() const { return rollout_timeout * 11 / 20; }
+  duration InitialVersionAge() const {
+    return std::max(rollout_timeout * 11 / 20,
+                    SupersededAfter() - startup_grace);
+  }
   /// \brief Returns the region of a data centre, or the name of the data centre
   /// if its region is unknown.
   region_id RegionOf(const data_centre_id& data_centre) const;
--- a/tests/node/node_settings_test.cc
+++ b/tests/node/node_settings_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "fireflyslip/catalog.h"
+
 namespace fireflyslip {
 namespace {
 
@@ -51,6 +53,25 @@
   EXPECT_EQ(findings_[0].path, "$.x");
 }
 
+// Guards against a gateway that uses superseded weights for a fixed part of the
+// rollout timeout after its start, whatever grace the platform allows.
+TEST_F(node_settings_test, Versions_FoundAtStart_OldOnesEndWithinGrace) {
+  for (const int grace_ms : {500, 1000, 3000, 5000}) {
+    const auto settings =
+        Parse(Text(R"(, "engine": "10.0.0.1:3", "rollout_ms": 8000,
+                "startup_grace_ms": )" +
+                   std::to_string(grace_ms)),
+              node_role::kStager);
+    ASSERT_TRUE(IsOk(settings)) << ErrorOf(settings).detail;
+    const time_point start(seconds(100));
+    version_targets targets(ValueOf(settings).SupersededAfter());
+    change_age age(start, ValueOf(settings).InitialVersionAge());
+    targets.Publish(model_name("m"), 2, age.EarliestChange(start), start);
+    EXPECT_LE(*targets.SupersededAt(model_name("m"), 1, start),
+              start + milliseconds(grace_ms));
+  }
+}
+
 TEST_F(node_settings_test, Parse_PortsMalformed_Reported) {
   std::string text = Text(R"(, "engine": "10.0.0.1:3")");
   text.replace(text.find("[7700, 7715]"), 12, "[0]");
