Read each object of the store on its own

Callers saw a gateway without upstreams, or with old ones: one entry of another writer with a number such as 1e400, NaN or half a surrogate pair made every list and watch of the kind fail, and they were repeated forever. The parser rejects a document in which one value cannot be represented, and a response was parsed as one document.

--- a/tests/adapter/catalog_codec_test.cc
+++ b/tests/adapter/catalog_codec_test.cc
@@ -96,5 +96,34 @@
   EXPECT_EQ(FindUnsigned(value, "b"), 1U);
 }
 
+// Guards against losing members and elements beside one that cannot be read.
+TEST_F(catalog_codec_test, Split_UnreadablePart_OthersWhole) {
+  const auto members = SplitObject(
+      R"({"a": 1e400, "b": "\ud800", "c": [1, {}], "d": "\u0041"})");
+  ASSERT_TRUE(members);
+  EXPECT_EQ(members->size(), 4U);
+  EXPECT_TRUE(ParseJson(members->at("a")).is_discarded());
+  EXPECT_TRUE(ParseJson(members->at("b")).is_discarded());
+  EXPECT_EQ(ParseJson(members->at("c")), json::parse("[1, {}]"));
+  EXPECT_EQ(ParseJson(members->at("d")), "A");
+  const auto elements = SplitArray("[1e400, \"\xff\", {\"a\": \"é\"}, []]");
+  ASSERT_TRUE(elements);
+  EXPECT_EQ(elements->size(), 4U);
+  EXPECT_EQ(ParseJson(elements->at(2)), json::parse(R"({"a": "é"})"));
+  EXPECT_EQ(SplitArray("[]")->size(), 0U);
+  EXPECT_EQ(SplitObject("{}")->size(), 0U);
+}
+
+// Guards against taking a part of a response for the whole.
+TEST_F(catalog_codec_test, Split_MalformedText_Nothing) {
+  for (const char* text :
+       {"", "1", "\x80{{{]", "{", "{\"a\":[1}", "nonsense"}) {
+    EXPECT_FALSE(SplitObject(text)) << text;
+  }
+  for (const char* text : {"", "1", "{}", "[1", "[[1]", "[1 2]"}) {
+    EXPECT_FALSE(SplitArray(text)) << text;
+  }
+}
+
 }  // namespace
 }  // namespace fireflyslip::platform
--- a/tests/node/fake_store.h
+++ b/tests/node/fake_store.h
@@ -47,11 +47,17 @@
 
   void Put(const std::string& kind,
            const std::string& name,
-           nlohmann::json spec) {
+           const nlohmann::json& spec) {
+    PutText(kind, name, spec.dump());
+  }
+  /// \brief Stores a spec that is sent as it is.
+  void PutText(const std::string& kind,
+               const std::string& name,
+               std::string spec) {
     objects_[kind][name] = {std::move(spec), ++revision_, false};
   }
   void Remove(const std::string& kind, const std::string& name) {
-    objects_[kind][name] = {nullptr, ++revision_, true};
+    objects_[kind][name] = {"null", ++revision_, true};
   }
 
   /// \brief Adds a ready replica.
@@ -81,7 +87,7 @@
 
  private:
   struct object {
-    nlohmann::json spec;
+    std::string spec;  // JSON text
     std::uint64_t revision = 0;
     bool removed = false;
   };
@@ -110,12 +116,12 @@
     const std::string since(request.QueryParameter("watchRevision"));
     if (since.empty()) {
       ++lists_[kind];
-      response.body = List(kind).dump();
+      response.body = List(kind);
     } else {
       const std::uint64_t revision = std::stoull(since);
       const int wait_ms =
           std::stoi(std::string(request.QueryParameter("waitMs")));
-      nlohmann::json events = Events(kind, revision);
+      std::string events = Events(kind, revision);
       constexpr int kStepMs = 5;
       for (int waited = 0; events.empty() && waited < wait_ms;
            waited += kStepMs) {
@@ -123,42 +129,47 @@
         co_await timer.async_wait(boost::asio::use_awaitable);
         events = Events(kind, revision);
       }
-      response.body =
-          nlohmann::json{{"events", events}, {"at", revision_}}.dump();
+      response.body = R"({"at":)" + std::to_string(revision_) +
+                      R"(,"events":[)" + events + "]}";
     }
     co_await writer.Send(std::move(response));
   }
 
-  nlohmann::json List(const std::string& kind) const {
-    nlohmann::json entries = nlohmann::json::array();
+  std::string List(const std::string& kind) const {
+    std::string entries;
     const auto found = objects_.find(kind);
     if (found != objects_.end()) {
       for (const auto& [name, object] : found->second) {
         if (!object.removed) {
-          entries.push_back(Encode(name, object));
+          entries += (entries.empty() ? "" : ",") + Encode(name, object);
         }
       }
     }
-    return {{"entries", entries}, {"hasMore", false}, {"at", revision_}};
+    return R"({"at":)" + std::to_string(revision_) +
+           R"(,"hasMore":false,"entries":[)" + entries + "]}";
   }
 
-  nlohmann::json Events(const std::string& kind, std::uint64_t since) const {
-    nlohmann::json events = nlohmann::json::array();
+  /// Events of a kind after a revision, separated by commas.
+  std::string Events(const std::string& kind, std::uint64_t since) const {
+    std::string events;
     const auto found = objects_.find(kind);
     if (found != objects_.end()) {
       for (const auto& [name, object] : found->second) {
         if (object.revision > since) {
-          events.push_back({{"eventObject", Encode(name, object)},
-                            {"deleted", object.removed}});
+          events += (events.empty() ? "" : ",") +
+                    (R"({"eventObject":)" + Encode(name, object)) +
+                    R"(,"deleted":)" + (object.removed ? "true}" : "false}");
         }
       }
     }
     return events;
   }
 
-  static nlohmann::json Encode(const std::string& name, const object& object) {
-    return {{"metadata", {{"name", name}, {"revision", object.revision}}},
-            {"spec", object.spec}};
+  static std::string Encode(const std::string& name, const object& object) {
+    const nlohmann::json metadata = {{"name", name},
+                                     {"revision", object.revision}};
+    return R"({"metadata":)" + metadata.dump() + R"(,"spec":)" + object.spec +
+           "}";
   }
 
   boost::asio::io_context& context_;
