Treat relays with the same address as one candidate

Operators saw a gateway or stager that kept a core busy and stopped following the platform: two upstreams of its data centre had the same IP address, for example because another writer copied an entry or because the entry of a replica that started again under another id was still there. If that relay did not respond, only the first candidate with the address was blocked, the second was polled at once, without pause, and the store was never watched.

The selector drops repeated addresses, and SelectRelays() counts VMs, so that copies do not take the places of the other relays.

relay_selector_test.Candidates_SameAddressTwice_BlockedAsOne and catalog_relay_test.Relays_UpstreamsWithSameAddress_Distinct failed with the old code.

--- a/src/catalog/relay_selector.cc
+++ b/src/catalog/relay_selector.cc
@@ -73,6 +73,12 @@
   std::vector<candidate> changed;
   changed.reserve(addresses.size());
   for (const std::string& address : addresses) {
+    const bool repeated = std::any_of(
+        changed.begin(), changed.end(),
+        [&](const candidate& other) { return other.address == address; });
+    if (repeated) {
+      continue;
+    }
     const candidate* known = Find(address);
     changed.push_back(known != nullptr ? *known : candidate{address, {}, 0});
   }
--- a/src/node/relay_client.cc
+++ b/src/node/relay_client.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <set>
 #include <utility>
 
 #include "fireflyslip/core/rendezvous.h"
@@ -139,17 +140,18 @@
 
 std::vector<std::string> SelectRelays(const upstream_map& upstreams,
                                       const data_centre_id& data_centre) {
-  std::vector<vm_id> addresses;
+  std::set<vm_id> addresses;
   for (const auto& [id, entry] : upstreams) {
     const auto endpoint = ParseHttpEndpoint(entry.address);
     if (endpoint && entry.data_centre == data_centre && !entry.draining &&
         entry.has_engine) {
-      addresses.emplace_back(endpoint->address);
+      addresses.emplace(endpoint->address);
     }
   }
-  addresses = RendezvousOrder("catalog_relay", std::move(addresses));
+  const std::vector<vm_id> order = RendezvousOrder<vm_id>(
+      "catalog_relay", {addresses.begin(), addresses.end()});
   std::vector<std::string> relays;
-  for (const vm_id& address : addresses) {
+  for (const vm_id& address : order) {
     if (relays.size() < kMaxRelays) {
       relays.push_back(address.value());
     }
--- a/tests/catalog/relay_selector_test.cc
+++ b/tests/catalog/relay_selector_test.cc
@@ -66,6 +66,16 @@
   EXPECT_EQ(store_watches_, 1);
 }
 
+// Guards against a process that polls without pause and never watches the
+// store, because two upstreams have the same address.
+TEST_F(relay_selector_test, Candidates_SameAddressTwice_BlockedAsOne) {
+  Send(selector::candidates_changed{{"a", "a"}});
+  Answer(relay_poll_status::kFailed);
+  EXPECT_EQ(store_watches_, 1);
+  ASSERT_TRUE(selector_.NextDeadline());
+  EXPECT_GT(*selector_.NextDeadline(), now_);
+}
+
 // Guards against requests to a draining upstream, or with a revoked key, while
 // a process waits for a relay that is cut off.
 TEST_F(relay_selector_test, Current_Silent_StoreWatchedAfterMaxSilence) {
--- a/tests/node/catalog_relay_test.cc
+++ b/tests/node/catalog_relay_test.cc
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 
 #include "node/fake_store.h"
 #include "node/relay_client.h"
@@ -234,6 +235,28 @@
   EXPECT_EQ(ValueOf(*content)["version"], 9);
 }
 
+// Guards against upstreams with the same address that take the places of other
+// relays.
+TEST_F(catalog_relay_test, Relays_UpstreamsWithSameAddress_Distinct) {
+  upstream_map upstreams;
+  for (int i = 0; i < 4; ++i) {
+    for (int port = 80; port < 90; ++port) {
+      upstream_entry entry;
+      entry.id = upstream_id(std::to_string(i) + "-" + std::to_string(port));
+      entry.address = "10.0.0." + std::to_string(i) + ":";
+      entry.address += std::to_string(port);
+      entry.data_centre = data_centre_id("akl");
+      entry.has_engine = true;
+      upstreams.emplace(entry.id, entry);
+    }
+  }
+  const std::vector<std::string> relays =
+      SelectRelays(upstreams, data_centre_id("akl"));
+  const std::set<std::string> distinct(relays.begin(), relays.end());
+  EXPECT_GT(relays.size(), 1U);
+  EXPECT_EQ(distinct.size(), relays.size());
+}
+
 // Guards against watches that go on for nobody.
 TEST_F(catalog_relay_test, Followers_None_StoreNotCalled) {
   context_.run_for(std::chrono::milliseconds(200));
