--- a/tests/adapter/catalog_codec_test.cc
+++ b/tests/adapter/catalog_codec_test.cc
@@ -96,6 +96,20 @@
   EXPECT_EQ(FindUnsigned(value, "b"), 1U);
 }
 
+// Guards against values over which recursion exhausts the stack.
+TEST_F(catalog_codec_test, ParseJson_NestedTooDeeply_Discarded) {
+  const auto nested = [](std::size_t levels) {
+    return std::string(levels, '[') + std::string(levels, ']');
+  };
+  EXPECT_FALSE(ParseJson(nested(kMaxNestingDepth)).is_discarded());
+  EXPECT_TRUE(ParseJson(nested(kMaxNestingDepth + 1)).is_discarded());
+  constexpr std::size_t kLevels = 400'000;
+  EXPECT_TRUE(ParseJson(nested(kLevels)).is_discarded());
+  EXPECT_TRUE(ParseJson(std::string(kLevels, '[')).is_discarded());
+  const std::string object = R"({"b":)" + nested(kLevels) + R"(,"a":1})";
+  EXPECT_TRUE(ParseJson(object).is_discarded());
+}
+
 // Guards against losing members and elements beside one that cannot be read.
 TEST_F(catalog_codec_test, Split_UnreadablePart_OthersWhole) {
   const auto members = SplitObject(
--- a/tests/gateway/catalog_feed_test.cc
+++ b/tests/gateway/catalog_feed_test.cc
@@ -102,5 +102,11 @@
   ExpectOthersFollowed(UnreadableEntries());
 }
 
+// Guards against an entry of another writer that ends the process, because its
+// nesting exhausts the stack.
+TEST_F(catalog_feed_test, Upstream_NestedDeeply_OthersFollowed) {
+  ExpectOthersFollowed(DeepEntries());
+}
+
 }  // namespace
 }  // namespace fireflyslip
--- a/tests/node/catalog_relay_test.cc
+++ b/tests/node/catalog_relay_test.cc
@@ -12,6 +12,7 @@
 #include <set>
 
 #include "node/fake_store.h"
+#include "node/odd_entries.h"
 #include "node/relay_client.h"
 
 namespace fireflyslip {
@@ -235,6 +236,40 @@
   EXPECT_EQ(ValueOf(*content)["version"], 9);
 }
 
+// Guards against an entry of another writer that ends a relay, or that hides
+// the other upstreams and their changes from its followers.
+TEST_F(catalog_relay_test, Upstreams_OddEntries_FollowersKnowTheOthers) {
+  std::vector<odd_entry> entries = UnreadableEntries();
+  for (odd_entry& entry : DeepEntries()) {
+    entries.push_back(std::move(entry));
+  }
+  const auto put_all = [&](const std::function<std::string(int)>& spec) {
+    for (int i = 0; i < std::ssize(entries); ++i) {
+      store_.PutText(platform::kUpstreamKind, "odd-" + std::to_string(i),
+                     spec(i));
+    }
+  };
+  const auto odd = [&](int i) { return entries[i].spec; };
+  const auto knows = [](const follower& process, const std::string& id) {
+    return process.upstreams.contains(upstream_id(id));
+  };
+  put_all(odd);
+  follower& process = AddFollower();
+  ASSERT_TRUE(RunUntil([&] { return knows(process, "i-1"); }));
+  EXPECT_EQ(process.upstreams.size(), 1U);
+  put_all([](int) { return UpstreamSpec(); });
+  ASSERT_TRUE(
+      RunUntil([&] { return process.upstreams.size() == entries.size() + 1; }));
+  put_all(odd);
+  store_.PutUpstream("i-2", "127.0.0.1:81");
+  ASSERT_TRUE(RunUntil([&] { return knows(process, "i-2"); }));
+  EXPECT_TRUE(knows(process, "i-1"));
+  for (int i = 0; i < std::ssize(entries); ++i) {
+    EXPECT_FALSE(knows(process, "odd-" + std::to_string(i)))
+        << entries[i].description;
+  }
+}
+
 // Guards against upstreams with the same address that take the places of other
 // relays.
 TEST_F(catalog_relay_test, Relays_UpstreamsWithSameAddress_Distinct) {
--- a/tests/node/odd_entries.h
+++ b/tests/node/odd_entries.h
@@ -41,6 +41,18 @@
   return text + "}";
 }
 
+inline std::string NestedArrays(std::size_t levels) {
+  return std::string(levels, '[') + std::string(levels, ']');
+}
+
+inline std::string NestedObjects(std::size_t levels) {
+  std::string text;
+  for (std::size_t i = 0; i < levels; ++i) {
+    text += R"({"a":)";
+  }
+  return text + "1" + std::string(levels, '}');
+}
+
 /// \brief Entries that cannot be read.
 inline std::vector<odd_entry> UnreadableEntries() {
   std::vector<odd_entry> entries;
@@ -59,6 +71,23 @@
   return entries;
 }
 
+/// \brief Entries that are nested so deeply that recursion over them exhausts
+/// the stack. An object of the store may have 1 MB.
+inline std::vector<odd_entry> DeepEntries() {
+  constexpr std::size_t kObjectLevels = 100'000;
+  constexpr std::size_t kArrayLevels = 400'000;
+  std::vector<odd_entry> entries;
+  for (const char* field : {"other", "address", "slots", "modelList"}) {
+    entries.push_back({std::string(field) + " with nested arrays",
+                       UpstreamSpec(field, NestedArrays(kArrayLevels))});
+    entries.push_back({std::string(field) + " with nested objects",
+                       UpstreamSpec(field, NestedObjects(kObjectLevels))});
+  }
+  entries.push_back({"nested arrays only", NestedArrays(kArrayLevels)});
+  entries.push_back({"nested objects only", NestedObjects(kObjectLevels)});
+  return entries;
+}
+
 }  // namespace fireflyslip
 
 #endif  // TESTS_NODE_ODD_ENTRIES_H_
