Log who asks the origin instead of the assigned agent, and its failures

While weights were named and the origin was away, agents other than the assigned ones turned to the origin, but no log told which and when. An agent logs each request of a chunk to which it is not assigned with its rank, and the moments at which its requests to the origin start and cease to fail.

--- a/include/fireflyslip/staging/weight_stager.h
+++ b/include/fireflyslip/staging/weight_stager.h
@@ -173,6 +173,10 @@
   std::uint64_t target() const { return target_.version; }
   /// \brief Whether all chunks of the target have been fetched.
   bool IsFetched() const;
+  /// \brief `OriginRank()` of this agent for a chunk of the target.
+  std::size_t origin_rank(std::size_t chunk) const {
+    return origin_ranks_[chunk];
+  }
   /// \brief Whether gateways should send no requests because of a load.
   bool IsLoadPending() const { return load_phase_ != load_phase::kNone; }
   /// \brief Whether a newer version may replace the target, because the replica
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -469,7 +469,14 @@
     bytes =
         co_await engine_.ReadStagedChunk(model_, chunk, kLocalReplicaTimeout);
   } else if (order.source.kind == source_kind::kOrigin) {
+    const std::size_t rank = core_.core().origin_rank(chunk);
+    if (rank > 0) {
+      LogLine("event=origin_asked version=" + std::to_string(version) +
+              " chunk=" + std::to_string(chunk) +
+              " rank=" + std::to_string(rank));
+    }
     bytes = co_await origin_->ReadChunk(model_, version, chunk, kChunkTimeout);
+    RecordOriginAnswer(bytes);
   } else {
     const http_endpoint peer{order.source.address,
                              settings_.ChunkEndpoint().port};
@@ -513,6 +520,16 @@
   core_.Handle(ended);
 }
 
+void stager::RecordOriginAnswer(const result<std::string>& answer) {
+  const bool failed = !IsOk(answer);
+  if (failed && !origin_failed_) {
+    LogLine("event=origin_failed reason=\"" + ErrorOf(answer).detail + "\"");
+  } else if (!failed && origin_failed_) {
+    LogLine("event=origin_recovered");
+  }
+  origin_failed_ = failed;
+}
+
 awaitable<void> stager::Stage(weight_stager::stage order) {
   const std::uint64_t version = chunks_.version();
   const auto bytes = chunks_.Get(order.chunk);
--- a/src/stager/stager.h
+++ b/src/stager/stager.h
@@ -67,6 +67,8 @@
   static boost::asio::awaitable<result<std::string>> ReadBody(
       std::shared_ptr<response_reader> reader);
   boost::asio::awaitable<void> Fetch(weight_stager::fetch order);
+  /// \brief Logs when the origin starts or ceases to fail.
+  void RecordOriginAnswer(const result<std::string>& answer);
   boost::asio::awaitable<void> Stage(weight_stager::stage order);
   boost::asio::awaitable<void> Verify();
   boost::asio::awaitable<void> Load();
@@ -100,6 +102,7 @@
   double origin_link_mbps_ = 0;  // 0 if unknown
   std::size_t chunk_bytes_ = 0;
   bool manifest_failed_ = false;  // result of the last read; limits logging
+  bool origin_failed_ = false;    // the last request of a chunk there
 };
 
 }  // namespace fireflyslip
