Tell agents that the origin is away, so that they leave it to the assigned ones

The rank of an agent replaces the assigned one by the time since a chunk was due. An outage of the origin thus made the fetchers of the other regions and then all agents due, and they all asked at its return. Sharing the link, their transfers exceeded the timeout, and those of the assigned agents with them.

An agent without a chunk now answers since when the chunk has been due at the origin (field x-chunk-overdue-ms of the 404). A failed request to the origin postpones that moment, and whoever waits for the agent learns it. Agents of higher rank turn to the origin only if nobody whom they wait for knows of a recent request. The two replacements may also try if the assigned agent lives, as it may be cut off, but not within 3 s of a failure of their own; the fetchers of the other regions not within 30 s. Agents wait for the replacements, too, once the agents before them are silent, and an agent that is cut off reads the chunk from them. After a second failure, the assigned agents spread their requests over the time that the link takes for the missing chunks. An agent without the field counts as silent, which is the previous rule; agents that do not know the field ignore it.

--- a/include/fireflyslip/staging/chunk_sources.h
+++ b/include/fireflyslip/staging/chunk_sources.h
@@ -25,6 +25,9 @@
   kOrigin,
 };
 
+/// Agents that replace, in turn, the one that fetches a chunk from the origin.
+inline constexpr std::size_t kOriginReplacements = 2;
+
 /// \brief Source of a chunk.
 struct staging_source {
   source_kind kind = source_kind::kOrigin;
@@ -32,6 +35,8 @@
   /// Whether the peer holds the call until it has the chunk itself. Blocking
   /// calls must not form a cycle, in which agents would wait for each other.
   bool blocking_call = true;
+  /// Whether it is tried only if the agents before it are silent.
+  bool is_replacement = false;
 
   auto operator<=>(const staging_source&) const = default;
 };
@@ -43,7 +48,9 @@
 /// Agents with the same list of peers agree on these fetchers. Peers whose
 /// replica already serves the version come first, spread by rendezvous hashing.
 /// Only calls to agents that do not wait for `self` block; other agents of the
-/// region get non-blocking calls, because they may already have the chunk.
+/// region get non-blocking calls, because they may already have the chunk. The
+/// agents that replace the one at the origin are the last ones before the
+/// origin, so that all others wait for them if it has failed.
 /// \param origin_region region of the origin; its agents fetch from the origin.
 std::vector<staging_source> ChunkSources(std::size_t chunk,
                                          const staging_peer& self,
--- a/include/fireflyslip/staging/weight_stager.h
+++ b/include/fireflyslip/staging/weight_stager.h
@@ -32,9 +32,17 @@
   /// congested. The number of concurrent transfers is then reduced, so that
   /// requests to the replica are not delayed.
   duration slow_transfer_threshold = milliseconds(250);
-  /// Time after the origin can send a chunk, per rank, for which an agent that
+  /// Time after a chunk is due at the origin, per rank, for which an agent that
   /// is not assigned to the chunk leaves the origin to others.
   duration origin_patience = milliseconds(1500);
+  /// Time after a failed request to the origin for which the agents that
+  /// replace the assigned one do not turn to it, unless those before them are
+  /// silent. It exceeds the time in which the origin sends one copy, so that
+  /// after its return the assigned agents come first.
+  duration origin_retry_interval = seconds(3);
+  /// The same for the fetchers of the other regions. They outnumber the
+  /// replacements, so that only a long outage justifies their requests.
+  duration remote_origin_retry_interval = seconds(30);
   /// Retry delay after a source did not have the chunk. It is short because the
   /// call has already waited at the source.
   duration missing_retry_delay = milliseconds(30);
@@ -101,6 +109,8 @@
     fetch_result result = fetch_result::kFetched;
     /// From the first byte to the last one.
     duration transfer = {};
+    /// `Overdue()` of the peer; nothing if it did not tell.
+    std::optional<duration> overdue;
 
     bool operator==(const fetch_ended&) const = default;
   };
@@ -177,6 +187,13 @@
   std::size_t origin_rank(std::size_t chunk) const {
     return origin_ranks_[chunk];
   }
+  /// \brief Time since a chunk of the target has been due at the origin, as far
+  /// as this agent knows; negative if it is due later.
+  ///
+  /// A failed request to the origin postpones the moment, and the agents that
+  /// wait for this one learn the new moment. They can thus tell an outage of
+  /// the origin from a failure of the agent that is assigned to the chunk.
+  duration Overdue(std::size_t chunk, time_point now) const;
   /// \brief Whether gateways should send no requests because of a load.
   bool IsLoadPending() const { return load_phase_ != load_phase::kNone; }
   /// \brief Whether a newer version may replace the target, because the replica
@@ -196,6 +213,10 @@
     std::size_t attempts = 0;  // at that source
     std::size_t local_replica_failures = 0;
     bool try_local_replica = false;
+    time_point origin_due;  // see `Overdue()`
+    /// Whether none of the agents that were asked to wait for the chunk, since
+    /// the first source was last tried, knew of a recent request to the origin.
+    bool fetchers_silent = true;
   };
   enum class load_phase { kNone, kAnnounced, kVerifying, kRequested };
 
@@ -217,10 +238,24 @@
   bool AllStaged() const;
   bool IsInSecondBatch() const;
   const staging_source& SourceOf(std::size_t chunk) const;
+  duration OriginPatience(std::size_t chunk) const;
+  /// \brief Whether this agent leaves the origin to those that are assigned to
+  /// the chunk or replace them.
+  bool LeavesOriginToOthers(std::size_t chunk) const;
+  /// \brief Whether this agent may turn to the origin although the agents
+  /// before it live, because they may be cut off from the origin.
+  bool IsOriginRetryDue(std::size_t chunk) const;
+  /// \brief Records what a source tells of the agents that ask the origin.
+  void ObserveFetchers(const fetch_ended& event);
+  /// \brief Postpones a chunk after a failed request to the origin.
+  void RecordOriginFailure(std::size_t chunk);
   void PlanSources();
   /// \brief Delays the chunks that this agent fetches from the origin until the
   /// origin's link is expected to have capacity for them.
   void ScheduleOriginFetches();
+  /// \brief Time that the origin's link takes for all chunks before one, except
+  /// those that are transferred beside it.
+  duration OriginLinkTime(std::size_t chunks_before) const;
   /// \brief Time from which the origin's link has capacity for a chunk.
   time_point OriginSlot(std::size_t chunk) const;
 
@@ -237,6 +272,8 @@
   std::size_t active_fetches_ = 0;
   std::size_t fetch_window_ = 1;
   std::size_t active_origin_fetches_ = 0;
+  bool origin_failing_ = false;  // the last request to the origin failed
+  std::optional<time_point> origin_failed_until_;  // as far as is known
   replica_observed replica_;
   bool replica_known_ = false;
   load_phase load_phase_ = load_phase::kNone;
--- a/src/stager/chunk_server.cc
+++ b/src/stager/chunk_server.cc
@@ -83,6 +83,14 @@
          std::to_string(index) + std::string(blocking ? "" : kNonBlockingQuery);
 }
 
+std::optional<duration> ParseOverdue(std::string_view value) {
+  std::int64_t count = 0;
+  if (!ConsumeNumber(value, count) || !value.empty()) {
+    return std::nullopt;
+  }
+  return milliseconds(count);
+}
+
 std::string ManifestPath(std::uint64_t version) {
   return std::string(kManifestPrefix) + std::to_string(version);
 }
@@ -106,9 +114,11 @@
 
 chunk_server::chunk_server(boost::asio::io_context& context,
                            const chunk_store& chunks,
-                           double bytes_per_second)
+                           double bytes_per_second,
+                           overdue_query overdue)
     : context_(context),
       chunks_(chunks),
+      overdue_(std::move(overdue)),
       pacer_(bytes_per_second),
       server_(context,
               {},
@@ -180,6 +190,14 @@
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     waiters_.erase(waiter);
   }
+  if (key && response.status == kStatusNotFound) {
+    if (const auto overdue = overdue_(key->version, key->index)) {
+      const auto rounded =
+          std::chrono::duration_cast<std::chrono::milliseconds>(*overdue);
+      response.fields.push_back(
+          {kOverdueField, std::to_string(rounded.count())});
+    }
+  }
   const time_point send_start = MonotonicNow();
   const std::size_t size = response.body.size();
   co_await writer.Send(std::move(response));
--- a/src/stager/chunk_server.h
+++ b/src/stager/chunk_server.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -24,6 +25,13 @@
                         std::size_t index,
                         bool blocking);
 
+/// Field of an answer without the chunk: milliseconds since the chunk has been
+/// due at the origin, as in `weight_stager::Overdue()`.
+inline constexpr char kOverdueField[] = "x-chunk-overdue-ms";
+
+/// \brief Parses the value of `kOverdueField`; nothing if it is missing.
+std::optional<duration> ParseOverdue(std::string_view value);
+
 /// \brief Request path of the manifest of a version at another stager.
 std::string ManifestPath(std::uint64_t version);
 
@@ -37,10 +45,17 @@
 /// staged yet waits for it as well.
 class chunk_server {
  public:
+  /// Returns `weight_stager::Overdue()` for a chunk of a version; nothing if
+  /// the version is not being staged.
+  using overdue_query =
+      std::function<std::optional<duration>(std::uint64_t version,
+                                            std::size_t index)>;
+
   /// \param bytes_per_second maximum total rate of all chunks.
   chunk_server(boost::asio::io_context& context,
                const chunk_store& chunks,
-               double bytes_per_second);
+               double bytes_per_second,
+               overdue_query overdue);
 
   result<unsigned short> Listen(const http_endpoint& endpoint);
 
@@ -60,6 +75,7 @@
 
   boost::asio::io_context& context_;
   const chunk_store& chunks_;
+  overdue_query overdue_;
   std::multimap<std::size_t, boost::asio::steady_timer*> waiters_;
   std::set<boost::asio::steady_timer*> version_waiters_;
   link_pacer pacer_;
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -86,7 +86,12 @@
       store_(context, settings.platform),
       engine_(context, *settings.engine),
       peer_client_(context),
-      chunk_server_(context, chunks_, ChunkRate(settings)),
+      chunk_server_(context,
+                    chunks_,
+                    ChunkRate(settings),
+                    [this](std::uint64_t version, std::size_t chunk) {
+                      return Overdue(version, chunk);
+                    }),
       publisher_(context,
                  settings_,
                  engine_,
@@ -465,6 +470,7 @@
   const std::size_t chunk = order.chunk;
   result<std::string> bytes = error{error_kind::kNotFound, ""};
   duration transfer{0};
+  std::optional<duration> overdue;
   if (order.source.kind == source_kind::kLocalReplica) {
     bytes =
         co_await engine_.ReadStagedChunk(model_, chunk, kLocalReplicaTimeout);
@@ -487,6 +493,7 @@
     if (IsOk(answer)) {
       const std::shared_ptr<response_reader> reader = ValueOf(answer);
       const time_point started_at = MonotonicNow();
+      overdue = ParseOverdue(reader->head().Field(kOverdueField));
       bytes = co_await ReadBody(reader);
       transfer = MonotonicNow() - started_at;
     } else {
@@ -500,6 +507,7 @@
   ended.chunk = chunk;
   ended.source = order.source;
   ended.transfer = transfer;
+  ended.overdue = overdue;
   if (!IsOk(bytes)) {
     ended.result = FetchResultOf(ErrorOf(bytes).kind);
   } else if (!chunks_.Put(chunk, ValueOf(std::move(bytes)))) {
@@ -520,6 +528,15 @@
   core_.Handle(ended);
 }
 
+std::optional<duration> stager::Overdue(std::uint64_t version,
+                                        std::size_t chunk) const {
+  // The stored digests change before the target of the core.
+  return version == core_.core().target() && version == chunks_.version() &&
+                 chunk < chunks_.size()
+             ? std::optional(core_.core().Overdue(chunk, MonotonicNow()))
+             : std::nullopt;
+}
+
 void stager::RecordOriginAnswer(const result<std::string>& answer) {
   const bool failed = !IsOk(answer);
   if (failed && !origin_failed_) {
--- a/src/stager/stager.h
+++ b/src/stager/stager.h
@@ -67,6 +67,9 @@
   static boost::asio::awaitable<result<std::string>> ReadBody(
       std::shared_ptr<response_reader> reader);
   boost::asio::awaitable<void> Fetch(weight_stager::fetch order);
+  /// \brief `weight_stager::Overdue()`; nothing if the version is not staged.
+  std::optional<duration> Overdue(std::uint64_t version,
+                                  std::size_t chunk) const;
   /// \brief Logs when the origin starts or ceases to fail.
   void RecordOriginAnswer(const result<std::string>& answer);
   boost::asio::awaitable<void> Stage(weight_stager::stage order);
--- a/src/staging/chunk_sources.cc
+++ b/src/staging/chunk_sources.cc
@@ -37,6 +37,19 @@
   return order[chunk % order.size()];
 }
 
+/// Returns the agent that fetches a chunk from the origin and its replacements,
+/// by rank.
+std::vector<std::string> SelectOriginFetchers(
+    std::size_t chunk,
+    const std::vector<staging_peer>& group) {
+  std::vector<std::string> order = Order(kOrderKey, group);
+  std::rotate(order.begin(),
+              order.begin() + static_cast<std::ptrdiff_t>(chunk % order.size()),
+              order.end());
+  order.resize(std::min(order.size(), kOriginReplacements + 1));
+  return order;
+}
+
 template <typename Condition>
 std::vector<staging_peer> Select(const std::vector<staging_peer>& peers,
                                  Condition condition) {
@@ -99,10 +112,22 @@
   if (origin_peers.empty()) {
     origin_peers = all;
   }
-  const std::string origin_fetcher = SelectFetcher(chunk, origin_peers);
-  if (origin_fetcher != self.address) {
-    Append({origin_fetcher}, self.address, true, sources);
+  const std::vector<std::string> origin_fetchers =
+      SelectOriginFetchers(chunk, origin_peers);
+  if (origin_fetchers.front() != self.address) {
+    Append({origin_fetchers.front()}, self.address, true, sources);
     Append(Order(spread_key, same_region), self.address, false, sources);
+    // Those after `self` wait for it.
+    const auto own =
+        std::find(origin_fetchers.begin(), origin_fetchers.end(), self.address);
+    for (auto fetcher = origin_fetchers.begin() + 1; fetcher != own;
+         ++fetcher) {
+      sources.push_back({source_kind::kPeer, *fetcher, true, true});
+    }
+  } else {
+    // The replacements have the chunk if `self` is cut off from the origin.
+    sources.push_back({source_kind::kOrigin, "", true});
+    Append(origin_fetchers, self.address, false, sources);
   }
   sources.push_back({source_kind::kOrigin, "", true});
   return sources;
@@ -112,7 +137,6 @@
                        const staging_peer& self,
                        const std::vector<staging_peer>& peers,
                        const region_id& origin_region) {
-  constexpr std::size_t kReplacements = 2;
   const std::vector<staging_peer> all = WithSelf(peers, self);
   const auto in_region = [&](const region_id& region) {
     return Select(
@@ -122,19 +146,14 @@
   if (group.empty()) {
     group = all;
   }
-  const std::vector<std::string> order = Order(kOrderKey, group);
-  const auto own = std::find(order.begin(), order.end(), self.address);
-  if (own != order.end()) {
-    const auto index = static_cast<std::size_t>(own - order.begin());
-    const std::size_t distance =
-        (index + order.size() - chunk % order.size()) % order.size();
-    if (distance <= kReplacements) {
-      return distance;
-    }
+  const std::vector<std::string> fetchers = SelectOriginFetchers(chunk, group);
+  const auto own = std::find(fetchers.begin(), fetchers.end(), self.address);
+  if (own != fetchers.end()) {
+    return static_cast<std::size_t>(own - fetchers.begin());
   }
   const bool is_local_fetcher =
       SelectFetcher(chunk, in_region(self.region)) == self.address;
-  return kReplacements + (is_local_fetcher ? 1 : 2);
+  return kOriginReplacements + (is_local_fetcher ? 1 : 2);
 }
 
 std::vector<staging_source> ManifestSources(
--- a/src/staging/weight_stager.cc
+++ b/src/staging/weight_stager.cc
@@ -68,6 +68,8 @@
   active_fetches_ = 0;
   fetch_window_ = policy_.max_parallel_fetches;
   active_origin_fetches_ = 0;
+  origin_failing_ = false;
+  origin_failed_until_.reset();
   load_phase_ = load_phase::kNone;
   load_not_before_ = now_;
   load_accepted_ = false;
@@ -84,11 +86,25 @@
   }
 }
 
-time_point weight_stager::OriginSlot(std::size_t chunk) const {
+duration weight_stager::OriginLinkTime(std::size_t chunks_before) const {
   const std::size_t position =
-      std::max(chunk, policy_.origin_pipeline) - policy_.origin_pipeline;
-  return assigned_at_ +
-         target_.origin_chunk_time * static_cast<duration::rep>(position);
+      std::max(chunks_before, policy_.origin_pipeline) -
+      policy_.origin_pipeline;
+  return target_.origin_chunk_time * static_cast<duration::rep>(position);
+}
+
+time_point weight_stager::OriginSlot(std::size_t chunk) const {
+  return assigned_at_ + OriginLinkTime(chunk);
+}
+
+duration weight_stager::Overdue(std::size_t chunk, time_point now) const {
+  const chunk_state& state = chunks_[chunk];
+  time_point due = std::max(OriginSlot(chunk), state.origin_due);
+  if (origin_failing_ && origin_ranks_[chunk] == 0 &&
+      state.phase == chunk_phase::kFetching) {
+    due = std::max(due, now);
+  }
+  return now - due;
 }
 
 void weight_stager::On(const peers_changed& event) {
@@ -114,6 +130,7 @@
   }
   const bool from_local_replica =
       event.source.kind == source_kind::kLocalReplica;
+  ObserveFetchers(event);
   switch (event.result) {
     case fetch_result::kFetched:
       last_progress_ = now_;
@@ -123,11 +140,19 @@
     case fetch_result::kMissing:
     case fetch_result::kBusy:
       chunk.not_before = now_ + policy_.missing_retry_delay;
-      ++chunk.attempts;
+      // Whoever waits for the chunk is told when it is requested from the
+      // origin. The next sources would not have it earlier.
+      if (!event.overdue || *event.overdue >= policy_.origin_patience ||
+          IsOriginRetryDue(event.chunk)) {
+        ++chunk.attempts;
+      }
       break;
     case fetch_result::kFailed:
       chunk.not_before = now_ + policy_.failure_retry_delay;
       chunk.local_replica_failures += from_local_replica ? 1 : 0;
+      if (event.source.kind == source_kind::kOrigin) {
+        RecordOriginFailure(event.chunk);
+      }
       break;
   }
   const bool try_next_source =
@@ -142,10 +167,58 @@
               chunk.attempts >= policy_.max_attempts_per_source)) {
     ++chunk.source;
     chunk.attempts = 0;
+    if (chunk.source % sources_[event.chunk].size() == 0) {
+      chunk.fetchers_silent = true;
+    }
   }
   chunk.phase = chunk_phase::kMissing;
 }
 
+void weight_stager::ObserveFetchers(const fetch_ended& event) {
+  chunk_state& chunk = chunks_[event.chunk];
+  if (event.source.kind == source_kind::kOrigin) {
+    if (origin_failing_ && event.result == fetch_result::kFetched) {
+      origin_failing_ = false;
+      origin_failed_until_ = now_;
+    }
+  }
+  if (event.source.kind != source_kind::kPeer || !event.source.blocking_call) {
+    return;
+  }
+  if (event.overdue) {
+    chunk.origin_due = std::max(chunk.origin_due, now_ - *event.overdue);
+  }
+  if (event.result == fetch_result::kBusy) {  // the peer has the chunk
+    chunk.origin_due = std::max(chunk.origin_due, now_);
+    chunk.fetchers_silent = false;
+    return;
+  }
+  if (event.result == fetch_result::kFailed) {
+    chunk.fetchers_silent = true;
+  } else if (event.overdue && *event.overdue < OriginPatience(event.chunk)) {
+    chunk.fetchers_silent = false;
+  }
+}
+
+void weight_stager::RecordOriginFailure(std::size_t chunk) {
+  chunk_state& state = chunks_[chunk];
+  // Requests of the assigned agents after the return of the origin are spread
+  // over the time that its link takes for the missing chunks. A single failure
+  // is not taken for an outage.
+  if (origin_failing_ && origin_ranks_[chunk] == 0) {
+    const auto missing = std::count_if(
+        chunks_.begin(), chunks_.begin() + static_cast<std::ptrdiff_t>(chunk),
+        [](const chunk_state& earlier) {
+          return earlier.phase == chunk_phase::kMissing ||
+                 earlier.phase == chunk_phase::kFetching;
+        });
+    state.not_before += OriginLinkTime(static_cast<std::size_t>(missing));
+  }
+  state.origin_due = std::max(state.origin_due, state.not_before);
+  origin_failing_ = true;
+  origin_failed_until_ = now_;
+}
+
 void weight_stager::On(const stage_ended& event) {
   if (event.chunk >= chunks_.size()) {
     return;
@@ -322,12 +395,38 @@
   }
   const std::vector<staging_source>& sources = sources_[chunk];
   const staging_source& source = sources[state.source % sources.size()];
-  const duration patience = policy_.origin_patience *
-                            static_cast<duration::rep>(origin_ranks_[chunk]);
-  return source.kind == source_kind::kOrigin &&
-                 now_ < OriginSlot(chunk) + patience
-             ? sources.front()
-             : source;
+  const bool is_left_to_others =
+      (source.is_replacement && !state.fetchers_silent) ||
+      (source.kind == source_kind::kOrigin && LeavesOriginToOthers(chunk));
+  return is_left_to_others ? sources.front() : source;
+}
+
+duration weight_stager::OriginPatience(std::size_t chunk) const {
+  return policy_.origin_patience *
+         static_cast<duration::rep>(origin_ranks_[chunk]);
+}
+
+bool weight_stager::LeavesOriginToOthers(std::size_t chunk) const {
+  const chunk_state& state = chunks_[chunk];
+  const bool is_replaced =
+      state.fetchers_silent &&
+      now_ >=
+          std::max(OriginSlot(chunk), state.origin_due) + OriginPatience(chunk);
+  return origin_ranks_[chunk] > 0 && !is_replaced && !IsOriginRetryDue(chunk);
+}
+
+bool weight_stager::IsOriginRetryDue(std::size_t chunk) const {
+  const std::size_t rank = origin_ranks_[chunk];
+  const bool is_replacement = rank <= kOriginReplacements;
+  if (rank > kOriginReplacements + 1) {
+    return false;
+  }
+  const duration interval = is_replacement
+                                ? policy_.origin_retry_interval
+                                : policy_.remote_origin_retry_interval;
+  const time_point slot = OriginSlot(chunk);
+  return now_ >= slot + (is_replacement ? OriginPatience(chunk) : interval) &&
+         (!origin_failed_until_ || now_ >= *origin_failed_until_ + interval);
 }
 
 }  // namespace fireflyslip
