--- a/src/stager/stager.h
+++ b/src/stager/stager.h
@@ -67,6 +67,11 @@
   static boost::asio::awaitable<result<std::string>> ReadBody(
       std::shared_ptr<response_reader> reader);
   boost::asio::awaitable<void> Fetch(weight_stager::fetch order);
+  /// \brief `weight_stager::Overdue()`; nothing if the version is not staged.
+  std::optional<duration> Overdue(std::uint64_t version,
+                                  std::size_t chunk) const;
+  /// \brief Logs when the origin starts or ceases to fail.
+  void RecordOriginAnswer(const result<std::string>& answer);
   boost::asio::awaitable<void> Stage(weight_stager::stage order);
   boost::asio::awaitable<void> Verify();
   boost::asio::awaitable<void> Load();
@@ -100,6 +105,7 @@
   double origin_link_mbps_ = 0;  // 0 if unknown
   std::size_t chunk_bytes_ = 0;
   bool manifest_failed_ = false;  // result of the last read; limits logging
+  bool origin_failed_ = false;    // the last request of a chunk there
 };
 
 }  // namespace fireflyslip
