Move the planned stop of a gateway into a class

The sequence was part of the daemon, where no test could reach it, and took turns on two threads. It now runs on the traffic thread, which owns what it stops; only the end of the sequence stops the control thread. The timing is unchanged.

--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -1,7 +1,6 @@
 #include "gateway/gateway_daemon.h"
 
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <memory>
 #include <random>
@@ -10,6 +9,7 @@
 #include "fireflyslip/runtime.h"
 #include "gateway/catalog_feed.h"
 #include "gateway/gateway.h"
+#include "gateway/gateway_shutdown.h"
 #include "platform/wire_names.h"
 
 namespace fireflyslip {
@@ -23,14 +23,6 @@
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusUnavailable = 503;
 
-/// The load balancer polls readiness once a second and removes a gateway after
-/// two failed checks, so it stops sending new connections after about this
-/// time.
-constexpr milliseconds kBalancerNotice{2500};
-/// Reserved at the end of the drain timeout for process exit.
-constexpr milliseconds kExitReserve{400};
-constexpr milliseconds kDrainCheckInterval{50};
-
 /// \brief Gateway process with a control thread, the calling one, and a traffic
 /// thread.
 class gateway_daemon {
@@ -41,11 +33,14 @@
         control_(1),
         signals_(control_, SIGTERM, SIGINT),
         reload_signals_(control_, SIGHUP),
-        drain_timer_(control_),
         traffic_gateway_(std::make_unique<gateway>(traffic_.context(),
                                                    settings,
                                                    counters_,
                                                    seed_)),
+        shutdown_(traffic_.context(),
+                  *traffic_gateway_,
+                  settings.drain_timeout,
+                  [this] { control_.stop(); }),
         feed_(control_, settings, FeedHandlers(), seed_),
         ready_server_(control_,
                       {},
@@ -172,29 +167,8 @@
 
   void Drain() {
     draining_ = true;
-    drain_deadline_ = MonotonicNow() + settings_.drain_timeout - kExitReserve;
     LogLine("event=drain role=gateway vm=" + settings_.vm.value());
-    traffic_.Post([this] { traffic_gateway_->DisableKeepAlive(); });
-    drain_timer_.expires_after(kBalancerNotice);
-    drain_timer_.async_wait([this](const boost::system::error_code&) {
-      traffic_.Post([this] { traffic_gateway_->StopAccepting(); });
-      CheckDrained();
-    });
-  }
-
-  void CheckDrained() {
-    traffic_.Post([this] {
-      const bool idle = traffic_gateway_->requests_in_progress() == 0;
-      boost::asio::post(control_, [this, idle] {
-        if (idle || MonotonicNow() >= drain_deadline_) {
-          control_.stop();
-          return;
-        }
-        drain_timer_.expires_after(kDrainCheckInterval);
-        drain_timer_.async_wait(
-            [this](const boost::system::error_code&) { CheckDrained(); });
-      });
-    });
+    traffic_.Post([this] { shutdown_.Start(); });
   }
 
   const node_settings settings_;
@@ -203,14 +177,13 @@
   boost::asio::io_context control_;
   boost::asio::signal_set signals_;
   boost::asio::signal_set reload_signals_;
-  boost::asio::steady_timer drain_timer_;
   io_thread traffic_;
   std::unique_ptr<gateway> traffic_gateway_;
+  gateway_shutdown shutdown_;  // on the traffic thread
   catalog_feed feed_;
   http_server ready_server_;
   http_server metrics_server_;
   bool draining_ = false;
-  time_point drain_deadline_;
 };
 
 }  // namespace
