Answer all requests in progress before a stopped gateway exits

In a planned stop, callers saw connections end without an answer: at the end of the drain timeout the process exited with whatever was in progress, among it requests that may not be repeated (LOST) and requests that still waited for an upstream and could safely have been sent elsewhere.

Cause: a request kept the deadline of its client and route, which may lie far beyond the end of the process, and nothing ended it before the exit.

A request that was sent to no upstream is then answered 503 (not run), one that may have run 502 (unknown), and a stream that has begun ends incomplete. The time until a silent upstream is given up does not change.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -99,6 +99,9 @@
     LogOutcome();
     co_return;
   }
+  if (const auto answer_by = gateway_.answer_by()) {
+    LimitDeadline(*answer_by);
+  }
   StartDeadlineTimer();
   client_.NotifyClosed([weak = weak_from_this()] {
     if (const auto shared_this = weak.lock()) {
@@ -149,6 +152,14 @@
   placement_event_.cancel();
 }
 
+void exchange::LimitDeadline(time_point answer_by) {
+  if (answer_by < deadline_) {
+    deadline_ = answer_by;
+    limited_by_stop_ = true;
+    StartDeadlineTimer();
+  }
+}
+
 std::optional<error> exchange::MatchRoute() {
   if (!catalog_) {
     return error{error_kind::kPlatformUnavailable,
@@ -176,7 +187,8 @@
   const duration route_timeout = route_->timeout.count() > 0
                                      ? route_->timeout
                                      : duration(kDefaultRequestTimeout);
-  deadline_ = received_at_ + std::min(client_timeout, route_timeout);
+  timeout_ = std::min(client_timeout, route_timeout);
+  deadline_ = received_at_ + timeout_;
   return std::nullopt;
 }
 
@@ -217,7 +229,9 @@
       [weak = weak_from_this()](const boost::system::error_code& code) {
         const auto shared_this = weak.lock();
         if (!code && shared_this) {
-          shared_this->Cancel(cancel_cause::kDeadlinePassed);
+          shared_this->Cancel(shared_this->limited_by_stop_
+                                  ? cancel_cause::kGatewayStopping
+                                  : cancel_cause::kDeadlinePassed);
         }
       });
 }
@@ -570,11 +584,21 @@
     client_.Abort();
     co_return;
   }
+  const bool stopping = cancel_cause_ == cancel_cause::kGatewayStopping;
   if (stream_started_) {
-    outcome_ = "stream_timed_out";
+    outcome_ = stopping ? "stream_broken" : "stream_timed_out";
     client_.Abort();
     co_return;
   }
+  if (stopping) {
+    const error problem{history_.may_have_run > 0
+                            ? error_kind::kOutcomeUnknown
+                            : error_kind::kUpstreamLeaving,
+                        "the gateway stops before the response"};
+    co_await SendProblem(problem);
+    outcome_ = "stopped";
+    co_return;
+  }
   const error problem{history_.tried > 0 ? error_kind::kDeadlineExceeded
                                          : error_kind::kOverloaded,
                       "no response before the deadline"};
@@ -629,8 +653,7 @@
                             route_->target_gap * kGapTimeoutGapFactor});
     return FromSeconds(ToSeconds(gap_timeout) * kStreamReadTimeoutFraction);
   }
-  return FromSeconds(ToSeconds(deadline_ - received_at_) *
-                     kReadTimeoutFraction);
+  return FromSeconds(ToSeconds(timeout_) * kReadTimeoutFraction);
 }
 
 duration exchange::EstimatedPrefillTime() const {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -38,9 +38,17 @@
   void OnPlaced(const dispatcher::start& placement);
   /// \brief Called when placement has rejected the request.
   void OnRejected(const dispatcher::refuse& rejection);
+  /// \brief Called when the gateway starts draining: the request is answered by
+  /// `answer_by` at the latest.
+  void LimitDeadline(time_point answer_by);
 
  private:
-  enum class cancel_cause { kNone, kClientDisconnected, kDeadlinePassed };
+  enum class cancel_cause {
+    kNone,
+    kClientDisconnected,
+    kDeadlinePassed,
+    kGatewayStopping
+  };
 
   struct attempt_report {
     bool delivered = false;
@@ -97,7 +105,9 @@
   int priority_ = 0;  // by workspace, then by route
 
   time_point received_at_;
-  time_point deadline_;  // earlier of the client's and the route's
+  duration timeout_{0};  // shorter of the client's and the route's
+  time_point deadline_;  // earlier if the gateway stops before the timeout
+  bool limited_by_stop_ = false;  // `deadline_` is
   cancel_cause cancel_cause_ = cancel_cause::kNone;
   bool response_sent_ = false;  // the end of the response is being sent
   boost::asio::steady_timer placement_event_;  // cancelled to signal a decision
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -193,8 +193,12 @@
   Handle(dispatcher::platform_responded{});
 }
 
-void gateway::DisableKeepAlive() {
+void gateway::StartDraining(time_point answer_by) {
+  answer_by_ = answer_by;
   server_.DisableKeepAlive();
+  for (const auto& [id, request_exchange] : exchanges_) {
+    request_exchange->LimitDeadline(answer_by);
+  }
 }
 
 void gateway::StopAccepting() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,8 +46,9 @@
   void ConfirmKeys(time_point current_as_of);
   void RecordPlatformResponse();
 
-  /// \brief Starts draining: connections are closed after their next response.
-  void DisableKeepAlive();
+  /// \brief Starts draining: connections are closed after their next response,
+  /// and every request is answered by `answer_by` at the latest.
+  void StartDraining(time_point answer_by);
   /// \brief Stops accepting connections; requests in progress are completed.
   void StopAccepting();
   std::size_t requests_in_progress() const;
@@ -61,6 +62,8 @@
   /// \brief Whether key revocations may be unknown to this gateway.
   bool AreKeysStale() const;
   std::optional<duration> KeyAge() const;
+  /// \brief Latest time of an answer; empty unless the gateway is draining.
+  std::optional<time_point> answer_by() const { return answer_by_; }
   void Submit(dispatcher::submit request);
   void Handle(const dispatcher::event& event);
   retry_window& RetryBudget(const service_name& service);
@@ -101,6 +104,7 @@
   std::map<service_name, retry_window> retry_budgets_;
   crash_monitor crashes_;
   std::optional<time_point> keys_current_as_of_;
+  std::optional<time_point> answer_by_;
   dispatch_id next_dispatch_ = 1;
   bool platform_outage_ = false;  // already logged
 };
--- /dev/null
+++ b/tests/gateway/gateway_shutdown_test.cc
@@ -0,0 +1,182 @@
+#include "gateway/gateway_shutdown.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/gateway_fixture.h"
+
+namespace fireflyslip {
+namespace {
+
+using boost::asio::awaitable;
+
+/// \brief Planned stop of a gateway; what it has not sent when the stop is
+/// finished is lost with the process.
+class gateway_shutdown_test : public testing_support::gateway_fixture {
+ protected:
+  static constexpr duration kDrainTimeout = seconds(3);
+
+  /// \brief Answer to one request that is sent without waiting for it.
+  struct pending_call {
+    std::optional<result<http_response>> answer;
+
+    int status() const {
+      return answer && IsOk(*answer) ? ValueOf(*answer).status : 0;
+    }
+  };
+
+  static std::size_t CountStatus(const std::vector<pending_call>& calls,
+                                 int status) {
+    return static_cast<std::size_t>(std::count_if(
+        calls.begin(), calls.end(),
+        [&](const auto& call) { return call.status() == status; }));
+  }
+
+  void StartCall(const http_request& request, pending_call& call) {
+    boost::asio::co_spawn(context_, Send(request, call.answer),
+                          boost::asio::detached);
+  }
+
+  /// \brief Runs all participants for a time, or until the stop is finished.
+  void RunFor(duration time) {
+    bool elapsed = false;
+    boost::asio::steady_timer timer(context_, time);
+    timer.async_wait(
+        [&elapsed](const boost::system::error_code&) { elapsed = true; });
+    while (!elapsed && !finished_) {
+      context_.run_one();
+    }
+  }
+
+  void StartShutdown() {
+    started_at_ = MonotonicNow();
+    shutdown_.Start();
+  }
+
+  /// \brief Runs until the stop is finished. Fails if a request is in progress
+  /// then, or if the process would be killed before.
+  void FinishShutdown() {
+    while (!finished_) {
+      context_.run_one();
+    }
+    EXPECT_EQ(gateway_->requests_in_progress(), 0U);
+    EXPECT_LT(MonotonicNow() - started_at_, kDrainTimeout);
+    // What was sent is delivered by the operating system.
+    context_.run_for(milliseconds(20));
+  }
+
+  /// \brief Responds after a delay.
+  handler RespondAfter(duration delay) {
+    return [this, delay](http_request,
+                         response_writer& writer) -> awaitable<void> {
+      boost::asio::steady_timer timer(context_, delay);
+      co_await timer.async_wait(boost::asio::use_awaitable);
+      http_response answer = MakeResponse(200, "ok");
+      co_await writer.Send(std::move(answer));
+    };
+  }
+
+  /// \brief Sends the first event of a stream and no more.
+  handler BeginStream() {
+    return [this](http_request, response_writer& writer) -> awaitable<void> {
+      http_response head = MakeStreamHead();
+      co_await writer.Begin(std::move(head));
+      std::string event = "id: 1\ndata: a\n\n";
+      co_await writer.Write(std::move(event));
+      boost::asio::steady_timer timer(context_, seconds(20));
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    };
+  }
+
+  bool finished_ = false;
+  time_point started_at_;
+  gateway_shutdown shutdown_{context_, *gateway_, kDrainTimeout,
+                             [this] { finished_ = true; }};
+};
+
+// Guards against a connection that ends without an answer because the process
+// exits while the upstream is still at work. The request may have run, so the
+// client must not be told otherwise.
+TEST_F(gateway_shutdown_test, Upstream_AtWorkAtTheEnd_502BeforeExit) {
+  Configure();
+  AddUpstream(RespondAfter(seconds(20)));
+  pending_call book;
+  pending_call look;
+  StartCall(MakeRequest("/book/1"), book);
+  StartCall(MakeRequest("/look/1"), look);
+  RunFor(milliseconds(100));
+  ASSERT_EQ(upstreams_[0]->received.size(), 2U);
+  StartShutdown();
+  FinishShutdown();
+  EXPECT_EQ(book.status(), 502);
+  EXPECT_EQ(look.status(), 502);
+}
+
+// Guards against an answer that is cut off although the upstream gives it
+// within the drain timeout.
+TEST_F(gateway_shutdown_test, Upstream_RespondsInTime_Forwarded) {
+  Configure();
+  AddUpstream(RespondAfter(milliseconds(2200)));
+  pending_call book;
+  StartCall(MakeRequest("/book/1"), book);
+  RunFor(milliseconds(50));
+  StartShutdown();
+  FinishShutdown();
+  EXPECT_EQ(book.status(), 200);
+}
+
+// Guards against a request that waits for an upstream and is cut off, or
+// reported as possibly run, although it was sent to none.
+TEST_F(gateway_shutdown_test, Request_WaitsForUpstream_503BeforeExit) {
+  Configure();
+  auto catalog = std::make_shared<deployment>(*gateway_->catalog());
+  route waiting = MakeRoute("/book/", request_idempotency::kNonIdempotent);
+  waiting.target_latency = seconds(18);
+  catalog->routes = route_table({waiting});
+  gateway_->SetDeployment(catalog);
+  AddUpstream(RespondAfter(seconds(20)));
+  entries_.begin()->second.slots = 1;
+  gateway_->SetUpstreams(std::make_shared<const upstream_map>(entries_));
+  constexpr std::size_t kCalls = 12;
+  std::vector<pending_call> calls(kCalls);
+  for (pending_call& call : calls) {
+    StartCall(MakeRequest("/book/1"), call);
+  }
+  RunFor(milliseconds(100));
+  const std::size_t sent = upstreams_[0]->received.size();
+  ASSERT_LT(sent, kCalls);
+  StartShutdown();
+  FinishShutdown();
+  EXPECT_EQ(upstreams_[0]->received.size(), sent);
+  EXPECT_EQ(CountStatus(calls, 502), sent);
+  EXPECT_EQ(CountStatus(calls, 503), kCalls - sent);
+}
+
+// Guards against a stream that is still open when the process exits, and
+// against one that is ended as if it were complete.
+TEST_F(gateway_shutdown_test, Stream_RunsAtTheEnd_EndedIncompleteBeforeExit) {
+  Configure();
+  AddUpstream(BeginStream());
+  std::optional<partial_response> stream;
+  boost::asio::co_spawn(context_, Receive(MakeRequest("/chat/1"), stream),
+                        boost::asio::detached);
+  // A stream without events is given up by the gateway after a few seconds.
+  RunFor(milliseconds(50));
+  StartShutdown();
+  FinishShutdown();
+  ASSERT_TRUE(stream);
+  EXPECT_EQ(stream->status, 200);
+  EXPECT_EQ(stream->body, "id: 1\ndata: a\n\n");
+  EXPECT_FALSE(stream->complete);
+}
+
+}  // namespace
+}  // namespace fireflyslip
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -399,7 +399,7 @@
 TEST_F(gateway_test, Drain_RequestInProgress_Completed) {
   Configure();
   AddUpstream([&](http_request, response_writer& writer) -> awaitable<void> {
-    gateway_->DisableKeepAlive();
+    gateway_->StartDraining(MonotonicNow() + seconds(10));
     gateway_->StopAccepting();
     http_response answer = MakeResponse(200, "ok");
     co_await writer.Send(std::move(answer));
