Refuse requests that a stopping gateway is not likely to finish

In a planned stop, requests that arrived after the signal were passed on even if they could last longer than the process. Callers lost the time that such a request had spent, and for a request that may not be repeated also its outcome.

Cause: for 2.5 s after the signal the gateway treats new requests as any other, whatever their deadline.

drain_policy.h decides on each request that arrives during the stop. It is accepted if its own deadline is before the end. Otherwise it is passed on with the end as its deadline if a multiple of its usual duration remains (twice, or four times if it must run at most once), or else refused at once with 503, not run, a short Retry-After and a closed connection, so that the client turns to another gateway. The usual duration is the target latency of the route; for streams that of the longest output is added, and without that figure a stream is refused. A request that usually takes a fraction of the remaining time is better served here than sent away.

Tests: of the tests of gateway_shutdown_test for late requests, the refusal of a non-idempotent request (was 200, upstream got it) and that of a stream (was passed on and cut at the end) fail without the change. The two that guard against refusing too much pass on both. ServedOnlyIfShort was added later and has not been run on the old code.

--- a/include/fireflyslip/placement.h
+++ b/include/fireflyslip/placement.h
@@ -7,6 +7,7 @@
 #include "fireflyslip/placement/attempt_policy.h"
 #include "fireflyslip/placement/decaying_rate.h"
 #include "fireflyslip/placement/dispatcher.h"
+#include "fireflyslip/placement/drain_policy.h"
 #include "fireflyslip/placement/held_maximum.h"
 #include "fireflyslip/placement/monitored_upstreams.h"
 #include "fireflyslip/placement/placement_policy.h"
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -94,14 +94,14 @@
   if (!problem) {
     problem = Authorize();
   }
+  if (!problem) {
+    problem = CheckDraining();
+  }
   if (problem) {
     co_await SendProblem(*problem);
     LogOutcome();
     co_return;
   }
-  if (const auto answer_by = gateway_.answer_by()) {
-    LimitDeadline(*answer_by);
-  }
   StartDeadlineTimer();
   client_.NotifyClosed([weak = weak_from_this()] {
     if (const auto shared_this = weak.lock()) {
@@ -212,6 +212,27 @@
   return std::nullopt;
 }
 
+std::optional<error> exchange::CheckDraining() {
+  const std::optional<time_point> answer_by = gateway_.answer_by();
+  if (!answer_by) {
+    return std::nullopt;
+  }
+  draining_arrival arrival;
+  arrival.idempotency = route_->idempotency_class;
+  arrival.time_left = RemainingTime();
+  arrival.expected_duration = ExpectedDuration();
+  switch (DecideWhileDraining(arrival, *answer_by - MonotonicNow())) {
+    case drain_decision::kRefuse:
+      return error{error_kind::kUpstreamLeaving, "the gateway is stopping"};
+    case drain_decision::kLimitDeadline:
+      LimitDeadline(*answer_by);
+      break;
+    case drain_decision::kAccept:
+      break;
+  }
+  return std::nullopt;
+}
+
 void exchange::Cancel(cancel_cause cause) {
   if (cancel_cause_ != cancel_cause::kNone) {
     return;
@@ -560,6 +581,8 @@
 awaitable<void> exchange::SendProblem(const error& problem) {
   /// Retry delay for rejections that do not depend on the load.
   constexpr milliseconds kDefaultDelay{300};
+  /// Other gateways can take the request at once.
+  constexpr milliseconds kGatewayStoppingDelay{50};
   const error_response& known = ErrorResponseFor(problem.kind);
   const outcome known_outcome =
       history_.may_have_run > 0 ? outcome::kUnknown : known.default_outcome;
@@ -569,8 +592,11 @@
     return field.name == "Retry-After";
   });
   if (known.retry_after && known.default_outcome == outcome::kNotRun) {
-    platform::SetRetryAfter(response, rejection_ ? rejection_->retry_after
-                                                 : duration(kDefaultDelay));
+    const duration delay = problem.kind == error_kind::kUpstreamLeaving
+                               ? kGatewayStoppingDelay
+                               : kDefaultDelay;
+    platform::SetRetryAfter(response,
+                            rejection_ ? rejection_->retry_after : delay);
   }
   status_ = response.status;
   outcome_ = std::string(known.name);
@@ -666,6 +692,24 @@
                      service->engine->prompt_tokens_per_s);
 }
 
+std::optional<duration> exchange::ExpectedDuration() const {
+  if (route_->target_latency.count() <= 0) {
+    return std::nullopt;
+  }
+  if (!route_->streaming) {
+    return route_->target_latency;
+  }
+  const service_profile* service = catalog_->FindService(service_);
+  if (service == nullptr || !service->engine || service->engine->step_ms <= 0 ||
+      metadata_.max_output_tokens == 0) {
+    return std::nullopt;
+  }
+  constexpr double kMillisecondsPerSecond = 1000;
+  return route_->target_latency +
+         FromSeconds(static_cast<double>(metadata_.max_output_tokens) *
+                     service->engine->step_ms / kMillisecondsPerSecond);
+}
+
 double exchange::EstimatedCost() const {
   const service_profile* service = catalog_->FindService(service_);
   if (service == nullptr || !service->engine) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -61,6 +61,9 @@
 
   std::optional<error> MatchRoute();
   std::optional<error> Authorize();
+  /// \brief While the gateway is stopping, limits the deadline or refuses the
+  /// request.
+  std::optional<error> CheckDraining();
   void Cancel(cancel_cause cause);
   void StartDeadlineTimer();
   /// \brief Whether a part of the prompt crashes upstreams. A stream that has
@@ -89,6 +92,8 @@
   duration RemainingTime() const;
   duration ReadTimeout() const;
   duration EstimatedPrefillTime() const;
+  /// \brief Usual time until the response is complete; empty if unknown.
+  std::optional<duration> ExpectedDuration() const;
   double EstimatedCost() const;
   void LogOutcome();
 
--- a/tests/gateway/gateway_shutdown_test.cc
+++ b/tests/gateway/gateway_shutdown_test.cc
@@ -7,10 +7,12 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "fireflyslip/http.h"
 #include "gateway/gateway_fixture.h"
 
 namespace fireflyslip {
@@ -178,5 +180,89 @@
   EXPECT_FALSE(stream->complete);
 }
 
+// Guards against a request that arrives during the stop, must run at most once,
+// and is passed on although it may last longer than the process.
+TEST_F(gateway_shutdown_test, NonIdempotent_ArrivesLate_RefusedAndNotSent) {
+  Configure();
+  AddUpstream(RespondWith(MakeResponse(200, "ok")));
+  StartShutdown();
+  RunFor(seconds(1));
+  const auto answer = Call(MakeRequest("/book/1"));
+  ASSERT_TRUE(IsOk(answer));
+  EXPECT_EQ(ValueOf(answer).status, 503);
+  EXPECT_EQ(ValueOf(answer).Field(kOutcomeHeader), "not_run");
+  EXPECT_EQ(ValueOf(answer).Field("Connection"), "close");
+  EXPECT_NE(ValueOf(answer).Field("Retry-After"), "");
+  EXPECT_TRUE(upstreams_[0]->received.empty());
+  FinishShutdown();
+}
+
+// Guards against a stream that begins during the stop and is cut.
+TEST_F(gateway_shutdown_test, Stream_ArrivesLate_RefusedAndNotSent) {
+  Configure();
+  AddUpstream(BeginStream());
+  StartShutdown();
+  EXPECT_EQ(CallStatus(MakeRequest("/chat/1")), 503);
+  EXPECT_TRUE(upstreams_[0]->received.empty());
+  FinishShutdown();
+}
+
+// Guards against refusing a short stream that usually ends long before the
+// gateway, and against accepting a long one of the same route.
+TEST_F(gateway_shutdown_test, Stream_ArrivesLate_ServedOnlyIfShort) {
+  Configure();
+  route chat = MakeRoute("/chat/", request_idempotency::kResumableStream);
+  chat.target_latency = milliseconds(200);
+  service_profile service;
+  service.name = service_name("s");
+  service.engine.emplace();
+  service.engine->step_ms = 10;
+  auto catalog = std::make_shared<deployment>(*gateway_->catalog());
+  catalog->routes = route_table({chat});
+  catalog->services[service.name] = service;
+  gateway_->SetDeployment(catalog);
+  AddUpstream(Stream("id: 1\ndata: a\n\n", true));
+  StartShutdown();
+  RunFor(seconds(1));
+  http_request request = MakeRequest("/chat/1");
+  request.fields.push_back({"Token-Count", "10,20"});
+  EXPECT_EQ(CallStatus(request), 200);
+  request.fields.back().value = "10,2000";
+  EXPECT_EQ(CallStatus(request), 503);
+  EXPECT_EQ(upstreams_[0]->received.size(), 1U);
+  FinishShutdown();
+}
+
+// Guards against refusing a request that is usually finished long before the
+// end, and against giving its upstream more time than the process has.
+TEST_F(gateway_shutdown_test, Short_ArrivesLate_SentWithEarlierDeadline) {
+  Configure();
+  route quick = MakeRoute("/book/", request_idempotency::kNonIdempotent);
+  quick.target_latency = milliseconds(200);
+  auto catalog = std::make_shared<deployment>(*gateway_->catalog());
+  catalog->routes = route_table({quick});
+  gateway_->SetDeployment(catalog);
+  AddUpstream(RespondWith(MakeResponse(200, "ok")));
+  StartShutdown();
+  RunFor(seconds(1));
+  EXPECT_EQ(CallStatus(MakeRequest("/book/1")), 200);
+  ASSERT_EQ(upstreams_[0]->received.size(), 1U);
+  EXPECT_LT(
+      std::stoi(std::string(upstreams_[0]->received[0].Field("Deadline-Ms"))),
+      2000);
+  FinishShutdown();
+}
+
+// Guards against refusing a request whose client does not wait beyond the end.
+TEST_F(gateway_shutdown_test, Deadline_BeforeTheEnd_Served) {
+  Configure();
+  AddUpstream(RespondWith(MakeResponse(200, "ok")));
+  StartShutdown();
+  http_request request = MakeRequest("/book/1");
+  request.fields[2].value = "1000";
+  EXPECT_EQ(CallStatus(request), 200);
+  FinishShutdown();
+}
+
 }  // namespace
 }  // namespace fireflyslip
