Answer requests that cross the drain of a server

In a planned stop, callers saw connections reset although their request had arrived: on a kept connection, a request that the server had not read yet; a request of which a part had been read; and all requests on connections that the operating system had accepted, but not yet the server.

Cause: drain cancelled the read of every connection that was not within a handler, whatever had been received, and closed the listening socket with its backlog. A connection whose accept had just completed was dropped. Requests that were being read did not count as in progress, so that the process could exit at once.

A drained server now accepts its backlog before it closes the listening socket, closes only connections on which nothing has arrived, finishes requests that are being received, and gives new connections 0.5 s for their first request. All of these count as in progress, and the gateway looks at that count only after the accepted connections have been registered. Every response after the drain has Connection: close. A request that is sent at the moment of the close can still cross it; it is then not read.

--- a/include/fireflyslip/http/http_server.h
+++ b/include/fireflyslip/http/http_server.h
@@ -70,8 +70,10 @@
   /// `kInternalError` if the address cannot be bound.
   result<unsigned short> Listen(const http_endpoint& endpoint);
 
-  /// \brief Stops accepting connections and closes idle ones; requests in
-  /// progress are completed. Called on the thread of the `io_context`.
+  /// \brief Stops accepting connections and closes idle ones. Requests that
+  /// are being received or served, and the first requests of connections that
+  /// the operating system has accepted, are completed. Called on the thread of
+  /// the `io_context`.
   void Drain();
 
   /// \brief Sends `Connection: close` with every further response, so that
@@ -82,6 +84,8 @@
   /// \brief Sets the limits of subsequent requests.
   void set_limits(const http_limits& limits);
 
+  /// \brief Requests that are being received or served; after `Drain()` also
+  /// connections whose first request may still arrive.
   std::size_t requests_in_progress() const;
 
  private:
--- a/src/gateway/gateway_shutdown.cc
+++ b/src/gateway/gateway_shutdown.cc
@@ -49,16 +49,12 @@
   timer_.async_wait([this](const boost::system::error_code& code) {
     if (!code) {
       gateway_.StopAccepting();
-      CheckDrained();
+      ScheduleCheck();
     }
   });
 }
 
-void gateway_shutdown::CheckDrained() {
-  if (gateway_.requests_in_progress() == 0 || MonotonicNow() >= exit_at_) {
-    on_finished_();
-    return;
-  }
+void gateway_shutdown::ScheduleCheck() {
   timer_.expires_after(kDrainCheckInterval);
   timer_.async_wait([this](const boost::system::error_code& code) {
     if (!code) {
@@ -67,4 +63,12 @@
   });
 }
 
+void gateway_shutdown::CheckDrained() {
+  if (gateway_.requests_in_progress() == 0 || MonotonicNow() >= exit_at_) {
+    on_finished_();
+    return;
+  }
+  ScheduleCheck();
+}
+
 }  // namespace fireflyslip
--- a/src/gateway/gateway_shutdown.h
+++ b/src/gateway/gateway_shutdown.h
@@ -26,6 +26,7 @@
   void Start();
 
  private:
+  void ScheduleCheck();
   void CheckDrained();
 
   gateway& gateway_;
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,5 +1,6 @@
 #include "fireflyslip/http/http_server.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -29,6 +30,9 @@
 
 constexpr seconds kWriteTimeout{30};
 constexpr milliseconds kAcceptRetryDelay{50};
+/// Time that a client has for its first request on a connection that was
+/// accepted shortly before the server was drained.
+constexpr milliseconds kFirstRequestTimeout{500};
 /// Bounds the time for which an unreachable client occupies a request. Probes
 /// are less frequent than those to upstreams, whose failure delays requests.
 constexpr tcp_keepalive_options kClientKeepalive{
@@ -50,18 +54,32 @@
     lowest_layer_.close();
   }
 
-  void CloseIfIdle() {
-    if (!busy_) {
+  /// \brief Ends the wait for a request, unless one has arrived meanwhile.
+  void CloseIfUnused() {
+    if (!busy_ && !HasData()) {
       lowest_layer_.cancel();
     }
   }
 
+  /// \brief Whether received bytes have not been read.
+  bool HasData() const {
+    beast::error_code code;
+    return lowest_layer_.socket().available(code) > 0;
+  }
+
+  /// \brief Whether a request is being received or served.
   bool busy() const { return busy_; }
-  void set_busy(bool busy) { busy_ = busy; }
+  /// \brief Whether no byte of a request has been received so far.
+  bool is_new() const { return new_; }
+  void set_busy(bool busy) {
+    busy_ = busy;
+    new_ = false;
+  }
 
  private:
   plain_stream& lowest_layer_;
   bool busy_ = false;
+  bool new_ = true;
 };
 
 http_request ToRequest(http::request<http::string_body>&& message) {
@@ -226,6 +244,7 @@
         asio::ssl::context* tls)
       : context_(context),
         acceptor_(context),
+        unused_timer_(context),
         limits_(limits),
         handle_(std::move(handle)),
         tls_(tls) {}
@@ -258,11 +277,24 @@
 
   void Drain() {
     draining_ = true;
+    close_requested_ = true;
+    AcceptBacklog();
     beast::error_code ignored;
     acceptor_.close(ignored);
     for (client_connection* connection : connections_) {
-      connection->CloseIfIdle();
+      if (!connection->is_new()) {
+        connection->CloseIfUnused();
+      }
     }
+    unused_timer_.expires_after(kFirstRequestTimeout);
+    unused_timer_.async_wait(
+        [self = shared_from_this()](const beast::error_code& code) {
+          if (!code) {
+            for (client_connection* connection : self->connections_) {
+              connection->CloseIfUnused();
+            }
+          }
+        });
   }
 
   void DisableKeepAlive() { close_requested_ = true; }
@@ -270,7 +302,11 @@
   void set_limits(const http_limits& limits) { limits_ = limits; }
 
   void Stop() {
-    Drain();
+    draining_ = true;
+    stopped_ = true;
+    beast::error_code ignored;
+    acceptor_.close(ignored);
+    unused_timer_.cancel();
     // Close() does not modify the set; the coroutines erase their entries
     // later.
     for (client_connection* connection : connections_) {
@@ -278,7 +314,14 @@
     }
   }
 
-  std::size_t requests_in_progress() const { return requests_in_progress_; }
+  std::size_t requests_in_progress() const {
+    const auto in_progress = std::count_if(
+        connections_.begin(), connections_.end(),
+        [this](const client_connection* connection) {
+          return connection->busy() || (draining_ && connection->is_new());
+        });
+    return static_cast<std::size_t>(in_progress) + starting_;
+  }
 
  private:
   static awaitable<void> Accept(std::shared_ptr<state> self) {
@@ -286,7 +329,7 @@
       beast::error_code code;
       tcp::socket socket =
           co_await self->acceptor_.async_accept(RedirectError(code));
-      if (code == asio::error::operation_aborted || self->draining_) {
+      if (code && self->draining_) {
         co_return;
       }
       if (code) {
@@ -295,15 +338,35 @@
         co_await retry_timer.async_wait(RedirectError(code));
         continue;
       }
-      SetSocketOptions(socket, kClientKeepalive);
-      asio::co_spawn(self->context_, Serve(self, std::move(socket)),
-                     asio::detached);
+      self->Start(std::move(socket));
     }
   }
 
+  /// Accepts the connections that the operating system has completed; closing
+  /// the listening socket would reset them.
+  void AcceptBacklog() {
+    beast::error_code code;
+    acceptor_.non_blocking(true, code);
+    while (!code) {
+      tcp::socket socket(context_);
+      acceptor_.accept(socket, code);
+      if (!code) {
+        Start(std::move(socket));
+      }
+    }
+  }
+
+  void Start(tcp::socket socket) {
+    SetSocketOptions(socket, kClientKeepalive);
+    ++starting_;
+    asio::co_spawn(context_, Serve(shared_from_this(), std::move(socket)),
+                   asio::detached);
+  }
+
   static awaitable<void> Serve(std::shared_ptr<state> self,
                                tcp::socket socket) {
     if (self->tls_ == nullptr) {
+      --self->starting_;
       plain_stream stream(std::move(socket));
       client_connection connection(stream);
       co_await self->ServeConnection(stream, connection);
@@ -315,6 +378,7 @@
     beast::error_code code;
     co_await stream.async_handshake(asio::ssl::stream_base::server,
                                     RedirectError(code));
+    --self->starting_;
     if (!code) {
       co_await self->ServeConnection(stream, connection);
     }
@@ -332,7 +396,12 @@
     }
     connections_.insert(&connection);
     beast::flat_buffer buffer;
-    while (!draining_ && co_await ServeRequest(stream, connection, buffer)) {
+    bool reusable = !stopped_;
+    while (reusable) {
+      reusable = co_await ServeRequest(stream, connection, buffer);
+      // A drained server serves only the requests that have already arrived.
+      reusable = reusable && !stopped_ &&
+                 (!draining_ || buffer.size() > 0 || connection.HasData());
     }
     connections_.erase(&connection);
   }
@@ -350,6 +419,7 @@
       co_await WaitForData(stream, buffer, code);
     }
     if (!code) {
+      connection.set_busy(true);
       beast::get_lowest_layer(stream).expires_after(limits_.read_timeout);
       co_await http::async_read_header(stream, buffer, parser,
                                        RedirectError(code));
@@ -370,16 +440,16 @@
       }
       co_return false;
     }
+    if (stopped_) {
+      co_return false;  // the handler may no longer exist
+    }
     const bool keep_alive = parser.get().keep_alive();
     stream_response_writer<Stream> writer(stream, connection, keep_alive,
                                           &close_requested_);
-    connection.set_busy(true);
-    ++requests_in_progress_;
     beast::get_lowest_layer(stream).expires_never();
     co_await handle_(ToRequest(parser.release()), writer);
-    --requests_in_progress_;
     connection.set_busy(false);
-    co_return writer.reusable() && !draining_;
+    co_return writer.reusable();
   }
 
   template <typename Stream>
@@ -395,12 +465,14 @@
 
   asio::io_context& context_;
   tcp::acceptor acceptor_;
+  asio::steady_timer unused_timer_;  // closes connections without a request
   http_limits limits_;
   handler handle_;
   asio::ssl::context* tls_;
   std::set<client_connection*> connections_;
-  std::size_t requests_in_progress_ = 0;
+  std::size_t starting_ = 0;  // accepted, but not in connections_ yet
   bool draining_ = false;
+  bool stopped_ = false;
   bool close_requested_ = false;
 };
 
--- a/tests/gateway/gateway_shutdown_test.cc
+++ b/tests/gateway/gateway_shutdown_test.cc
@@ -3,10 +3,14 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -19,6 +23,7 @@
 namespace {
 
 using boost::asio::awaitable;
+using boost::asio::ip::tcp;
 
 /// \brief Planned stop of a gateway; what it has not sent when the stop is
 /// finished is lost with the process.
@@ -98,6 +103,55 @@
     };
   }
 
+  void SetTargetLatency(duration latency) {
+    route book = MakeRoute("/book/", request_idempotency::kNonIdempotent);
+    route look = MakeRoute("/look/", request_idempotency::kIdempotent);
+    book.target_latency = latency;
+    look.target_latency = latency;
+    auto catalog = std::make_shared<deployment>(*gateway_->catalog());
+    catalog->routes = route_table({book, look});
+    gateway_->SetDeployment(catalog);
+  }
+
+  /// \brief Connects without running the gateway.
+  tcp::socket Connect(boost::system::error_code* code = nullptr) {
+    tcp::socket socket(context_);
+    boost::system::error_code result;
+    socket.connect({boost::asio::ip::make_address(gateway_endpoint_.address),
+                    gateway_endpoint_.port},
+                   result);
+    if (code != nullptr) {
+      *code = result;
+    }
+    return socket;
+  }
+
+  static void SendRaw(tcp::socket& socket, const std::string& path) {
+    const std::string request = "POST " + path +
+                                " HTTP/1.1\r\nHost: a.example\r\n"
+                                "Attempt-Id: id1\r\nDeadline-Ms: 15000\r\n"
+                                "Authorization: Bearer key\r\n"
+                                "Content-Length: 4\r\n\r\nbody";
+    boost::system::error_code code;
+    socket.non_blocking(false);
+    boost::asio::write(socket, boost::asio::buffer(request), code);
+  }
+
+  /// \brief Bytes that have arrived, and how the connection stands after them.
+  static std::string ReceiveRaw(tcp::socket& socket,
+                                boost::system::error_code& code) {
+    socket.non_blocking(true);
+    std::string received;
+    std::array<char, 4096> buffer{};
+    code = {};
+    while (!code) {
+      const std::size_t size =
+          socket.read_some(boost::asio::buffer(buffer), code);
+      received.append(buffer.data(), size);
+    }
+    return received;
+  }
+
   bool finished_ = false;
   time_point started_at_;
   gateway_shutdown shutdown_{context_, *gateway_, kDrainTimeout,
@@ -237,11 +291,7 @@
 // end, and against giving its upstream more time than the process has.
 TEST_F(gateway_shutdown_test, Short_ArrivesLate_SentWithEarlierDeadline) {
   Configure();
-  route quick = MakeRoute("/book/", request_idempotency::kNonIdempotent);
-  quick.target_latency = milliseconds(200);
-  auto catalog = std::make_shared<deployment>(*gateway_->catalog());
-  catalog->routes = route_table({quick});
-  gateway_->SetDeployment(catalog);
+  SetTargetLatency(milliseconds(200));
   AddUpstream(RespondWith(MakeResponse(200, "ok")));
   StartShutdown();
   RunFor(seconds(1));
@@ -253,6 +303,77 @@
   FinishShutdown();
 }
 
+// Guards against any connection that ends without an answer to a request, at
+// whatever time of the stop it is sent, on a new or on a kept connection.
+TEST_F(gateway_shutdown_test, Requests_DuringTheWholeStop_AllAnswered) {
+  Configure();
+  int count = 0;
+  AddUpstream([&](http_request, response_writer& writer) -> awaitable<void> {
+    constexpr int kSlowEvery = 7;
+    const duration delay =
+        ++count % kSlowEvery == 0 ? duration(seconds(20)) : milliseconds(100);
+    boost::asio::steady_timer timer(context_, delay);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    http_response answer = MakeResponse(200, "ok");
+    co_await writer.Send(std::move(answer));
+  });
+  entries_.begin()->second.slots = 400;
+  gateway_->SetUpstreams(std::make_shared<const upstream_map>(entries_));
+  SetTargetLatency(milliseconds(200));
+  constexpr std::size_t kKept = 100;
+  std::vector<tcp::socket> kept;
+  for (std::size_t i = 0; i < kKept; ++i) {
+    kept.push_back(Connect());
+    SendRaw(kept.back(), "/none/");  // answered without an upstream
+  }
+  RunFor(milliseconds(200));
+  for (tcp::socket& socket : kept) {
+    boost::system::error_code open;
+    ASSERT_TRUE(ReceiveRaw(socket, open).starts_with("HTTP/1.1 404"));
+    ASSERT_EQ(open, boost::asio::error::would_block);
+  }
+  std::vector<tcp::socket> used;
+  std::size_t refused = 0;  // connections, not requests
+  StartShutdown();
+  for (int i = 0; !finished_; ++i) {
+    const std::string path = i % 3 == 0 ? "/look/1" : "/book/1";
+    if (i % 2 == 0 && !kept.empty()) {
+      tcp::socket socket = std::move(kept.back());
+      kept.pop_back();
+      boost::system::error_code open;
+      ReceiveRaw(socket, open);
+      if (open == boost::asio::error::would_block) {
+        SendRaw(socket, path);
+        used.push_back(std::move(socket));
+      }
+    } else {
+      boost::system::error_code code;
+      tcp::socket socket = Connect(&code);
+      if (!code) {
+        SendRaw(socket, path);
+        used.push_back(std::move(socket));
+      } else {
+        ++refused;
+      }
+    }
+    RunFor(milliseconds(12));
+  }
+  EXPECT_EQ(gateway_->requests_in_progress(), 0U);
+  EXPECT_GT(refused, 0U);
+  std::map<std::string, int> answers;
+  for (tcp::socket& socket : used) {
+    boost::system::error_code closed;
+    ++answers[ReceiveRaw(socket, closed).substr(0, 12)];
+  }
+  EXPECT_EQ(answers.count(""), 0U) << answers[""] << " of " << used.size();
+  for (const auto& [status_line, number] : answers) {
+    EXPECT_TRUE(status_line == "HTTP/1.1 200" ||
+                status_line == "HTTP/1.1 502" || status_line == "HTTP/1.1 503")
+        << status_line << ": " << number;
+  }
+  EXPECT_GT(answers["HTTP/1.1 200"], 0);
+}
+
 // Guards against refusing a request whose client does not wait beyond the end.
 TEST_F(gateway_shutdown_test, Deadline_BeforeTheEnd_Served) {
   Configure();
