--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -94,6 +94,9 @@
   if (!problem) {
     problem = Authorize();
   }
+  if (!problem) {
+    problem = CheckDraining();
+  }
   if (problem) {
     co_await SendProblem(*problem);
     LogOutcome();
@@ -149,6 +152,14 @@
   placement_event_.cancel();
 }
 
+void exchange::LimitDeadline(time_point answer_by) {
+  if (answer_by < deadline_) {
+    deadline_ = answer_by;
+    limited_by_stop_ = true;
+    StartDeadlineTimer();
+  }
+}
+
 std::optional<error> exchange::MatchRoute() {
   if (!catalog_) {
     return error{error_kind::kPlatformUnavailable,
@@ -176,7 +187,8 @@
   const duration route_timeout = route_->timeout.count() > 0
                                      ? route_->timeout
                                      : duration(kDefaultRequestTimeout);
-  deadline_ = received_at_ + std::min(client_timeout, route_timeout);
+  timeout_ = std::min(client_timeout, route_timeout);
+  deadline_ = received_at_ + timeout_;
   return std::nullopt;
 }
 
@@ -200,6 +212,27 @@
   return std::nullopt;
 }
 
+std::optional<error> exchange::CheckDraining() {
+  const std::optional<time_point> answer_by = gateway_.answer_by();
+  if (!answer_by) {
+    return std::nullopt;
+  }
+  draining_arrival arrival;
+  arrival.idempotency = route_->idempotency_class;
+  arrival.time_left = RemainingTime();
+  arrival.expected_duration = ExpectedDuration();
+  switch (DecideWhileDraining(arrival, *answer_by - MonotonicNow())) {
+    case drain_decision::kRefuse:
+      return error{error_kind::kUpstreamLeaving, "the gateway is stopping"};
+    case drain_decision::kLimitDeadline:
+      LimitDeadline(*answer_by);
+      break;
+    case drain_decision::kAccept:
+      break;
+  }
+  return std::nullopt;
+}
+
 void exchange::Cancel(cancel_cause cause) {
   if (cancel_cause_ != cancel_cause::kNone) {
     return;
@@ -217,7 +250,9 @@
       [weak = weak_from_this()](const boost::system::error_code& code) {
         const auto shared_this = weak.lock();
         if (!code && shared_this) {
-          shared_this->Cancel(cancel_cause::kDeadlinePassed);
+          shared_this->Cancel(shared_this->limited_by_stop_
+                                  ? cancel_cause::kGatewayStopping
+                                  : cancel_cause::kDeadlinePassed);
         }
       });
 }
@@ -546,6 +581,8 @@
 awaitable<void> exchange::SendProblem(const error& problem) {
   /// Retry delay for rejections that do not depend on the load.
   constexpr milliseconds kDefaultDelay{300};
+  /// Other gateways can take the request at once.
+  constexpr milliseconds kGatewayStoppingDelay{50};
   const error_response& known = ErrorResponseFor(problem.kind);
   const outcome known_outcome =
       history_.may_have_run > 0 ? outcome::kUnknown : known.default_outcome;
@@ -555,8 +592,11 @@
     return field.name == "Retry-After";
   });
   if (known.retry_after && known.default_outcome == outcome::kNotRun) {
-    platform::SetRetryAfter(response, rejection_ ? rejection_->retry_after
-                                                 : duration(kDefaultDelay));
+    const duration delay = problem.kind == error_kind::kUpstreamLeaving
+                               ? kGatewayStoppingDelay
+                               : kDefaultDelay;
+    platform::SetRetryAfter(response,
+                            rejection_ ? rejection_->retry_after : delay);
   }
   status_ = response.status;
   outcome_ = std::string(known.name);
@@ -570,11 +610,21 @@
     client_.Abort();
     co_return;
   }
+  const bool stopping = cancel_cause_ == cancel_cause::kGatewayStopping;
   if (stream_started_) {
-    outcome_ = "stream_timed_out";
+    outcome_ = stopping ? "stream_broken" : "stream_timed_out";
     client_.Abort();
     co_return;
   }
+  if (stopping) {
+    const error problem{history_.may_have_run > 0
+                            ? error_kind::kOutcomeUnknown
+                            : error_kind::kUpstreamLeaving,
+                        "the gateway stops before the response"};
+    co_await SendProblem(problem);
+    outcome_ = "stopped";
+    co_return;
+  }
   const error problem{history_.tried > 0 ? error_kind::kDeadlineExceeded
                                          : error_kind::kOverloaded,
                       "no response before the deadline"};
@@ -629,8 +679,7 @@
                             route_->target_gap * kGapTimeoutGapFactor});
     return FromSeconds(ToSeconds(gap_timeout) * kStreamReadTimeoutFraction);
   }
-  return FromSeconds(ToSeconds(deadline_ - received_at_) *
-                     kReadTimeoutFraction);
+  return FromSeconds(ToSeconds(timeout_) * kReadTimeoutFraction);
 }
 
 duration exchange::EstimatedPrefillTime() const {
@@ -643,6 +692,24 @@
                      service->engine->prompt_tokens_per_s);
 }
 
+std::optional<duration> exchange::ExpectedDuration() const {
+  if (route_->target_latency.count() <= 0) {
+    return std::nullopt;
+  }
+  if (!route_->streaming) {
+    return route_->target_latency;
+  }
+  const service_profile* service = catalog_->FindService(service_);
+  if (service == nullptr || !service->engine || service->engine->step_ms <= 0 ||
+      metadata_.max_output_tokens == 0) {
+    return std::nullopt;
+  }
+  constexpr double kMillisecondsPerSecond = 1000;
+  return route_->target_latency +
+         FromSeconds(static_cast<double>(metadata_.max_output_tokens) *
+                     service->engine->step_ms / kMillisecondsPerSecond);
+}
+
 double exchange::EstimatedCost() const {
   const service_profile* service = catalog_->FindService(service_);
   if (service == nullptr || !service->engine) {
