Keep the sum of the retries of all gateways within the budget of each window

Cause: a gateway compared the retries of the last 10 s with the requests of the last 10 s, at the moment of each retry. Besides, each gateway used the window in which it happened to have most requests, so that the sum over many gateways was above the budget even with constant traffic.

A gateway now bounds the retries of every window, not only of the last one, by a weighted mean of the requests of that window so far and of the one that begins half a window before. The bound is linear in the requests, so the bounds of all gateways add up to the bound of the fleet. Fractions of a retry are rounded at random, since 149 gateways would lose one half each.

--- a/include/fireflyslip/placement/retry_window.h
+++ b/include/fireflyslip/placement/retry_window.h
@@ -1,55 +1,114 @@
 #ifndef FIREFLYSLIP_PLACEMENT_RETRY_WINDOW_H_
 #define FIREFLYSLIP_PLACEMENT_RETRY_WINDOW_H_
 
-#include <deque>
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
 
 #include "fireflyslip/core/time.h"
 
 namespace fireflyslip {
 
-/// \brief Retry budget of one service over a sliding window.
+/// \brief One gateway's part of the retry budget of a service.
 ///
-/// The gateways share the budget without communication: each one uses the
-/// ratio of its own requests and an equal part of the fixed allowance.
+/// The gateways share the budget without communication. In each window,
+/// whenever it begins, a gateway sends at most `ratio` times a weighted mean of
+/// two numbers of requests, plus its part of the fixed allowance: the requests
+/// of that window so far, and those of the window that begins half a length
+/// earlier. The weights are constants, so that the bounds of all gateways add
+/// up to the bound of the fleet for each window. This does not hold for a
+/// maximum over several windows, or for the best window of each gateway: each
+/// gateway would choose the one that favours it.
+///
+/// The first number pays for retries while traffic rises, the second one allows
+/// several retries at once when upstreams fail together.
 class retry_window {
  public:
   /// \param length length of the window.
   /// \param ratio retries per request.
-  explicit retry_window(duration length = seconds(10), double ratio = 0.1)
-      : length_(length), ratio_(ratio) {}
+  /// \param rounding number in [0, 1) that is added to the bound. A uniform
+  /// random one makes the number of retries equal to the bound on average;
+  /// without it, each gateway loses the fractional part.
+  explicit retry_window(duration length = seconds(10),
+                        double ratio = 0.1,
+                        double rounding = 0)
+      : tick_length_(
+            std::max(duration(1), length / static_cast<std::int64_t>(kTicks))),
+        ratio_(ratio),
+        rounding_(rounding) {}
 
   void CountRequest(time_point now) {
-    Expire(now);
-    requests_.push_back(now);
+    Advance(now);
+    ++At(0).requests;
   }
 
-  /// \brief Takes one retry; false if the budget is exhausted.
+  /// \brief Takes one retry that is sent now; false if the budget is exhausted.
   /// \param allowance retries per window in addition to the ratio.
   bool Take(time_point now, double allowance) {
-    Expire(now);
-    const double budget =
-        ratio_ * static_cast<double>(requests_.size()) + allowance;
-    if (static_cast<double>(retries_.size()) + 1 > budget) {
-      return false;
+    Advance(now);
+    double retries = 1;
+    double requests = 0;          // of the window that begins `age` ticks ago
+    double earlier_requests = 0;  // of the window half a length before
+    // The requests of the tick in which a window begins may precede it. They
+    // are left out, so that the bound holds for windows that begin at any
+    // moment.
+    for (std::size_t age = 0; age < kTicks / 2 - 1; ++age) {
+      earlier_requests += At(age).requests;
+    }
+    for (std::size_t age = 0; age <= kTicks; ++age) {
+      retries += At(age).retries;
+      earlier_requests += At(age + kTicks / 2 - 1).requests;
+      if (age >= kTicks / 2) {
+        earlier_requests -= At(age - kTicks / 2).requests;
+      }
+      const double mean =
+          kCurrentWeight * requests + (1 - kCurrentWeight) * earlier_requests;
+      if (retries > ratio_ * mean + allowance + rounding_) {
+        return false;
+      }
+      requests += At(age).requests;
     }
-    retries_.push_back(now);
+    ++At(0).retries;
     return true;
   }
 
  private:
-  void Expire(time_point now) {
-    while (!requests_.empty() && requests_.front() + length_ <= now) {
-      requests_.pop_front();
-    }
-    while (!retries_.empty() && retries_.front() + length_ <= now) {
-      retries_.pop_front();
+  static constexpr std::size_t kTicks = 100;  // per window
+  static constexpr std::size_t kStoredTicks = kTicks * 3 / 2 + 1;
+  static constexpr double kCurrentWeight = 0.65;
+
+  struct counts {
+    double requests = 0;
+    double retries = 0;
+  };
+
+  std::int64_t Tick(time_point at) const {
+    return at.time_since_epoch() / tick_length_;
+  }
+
+  /// Counts of an earlier tick.
+  counts& At(std::size_t age) {
+    return ring_[(position_ + kStoredTicks - age) % kStoredTicks];
+  }
+
+  void Advance(time_point now) {
+    const std::int64_t tick = Tick(now);
+    const std::int64_t passed =
+        std::min(tick - last_tick_, static_cast<std::int64_t>(kStoredTicks));
+    for (std::int64_t i = 0; i < passed; ++i) {
+      position_ = (position_ + 1) % kStoredTicks;
+      ring_[position_] = {};
     }
+    last_tick_ = std::max(last_tick_, tick);
   }
 
-  duration length_;
+  duration tick_length_;
   double ratio_;
-  std::deque<time_point> requests_;
-  std::deque<time_point> retries_;
+  double rounding_;
+  std::array<counts, kStoredTicks> ring_{};
+  std::size_t position_ = 0;  // of the last tick
+  std::int64_t last_tick_ = 0;
 };
 
 }  // namespace fireflyslip
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -227,9 +227,14 @@
 }
 
 retry_window& gateway::RetryBudget(const service_name& service) {
-  return retry_budgets_
-      .try_emplace(service, settings_.retry_window, settings_.retry_ratio)
-      .first->second;
+  auto found = retry_budgets_.find(service);
+  if (found == retry_budgets_.end()) {
+    found = retry_budgets_
+                .try_emplace(service, settings_.retry_window,
+                             settings_.retry_ratio, random_.Fraction())
+                .first;
+  }
+  return found->second;
 }
 
 double gateway::RetryAllowance() const {
