Share the fixed retry allowance by the greatest recent number of gateways

Operators may see more retries than the budget allows when agents restart or gateways start: each gateway divided the fixed allowance by the number of gateways of the moment, and by 16 as long as no agent had told it. Agents count the gateways anew after a restart, so 149 gateways that are told of two take 25 retries each. A restarted gateway also took its part once more in the window in which the process before it had used it.

A lower count is now believed after 5 s only. A gateway takes no part of the allowance until it knows a count, and its part grows over the first window of the process, so that the parts of a process and of its successors in one window are at most twice one part. Half of the allowance is given out as before. The ratio of the requests does not depend on this.

--- a/include/fireflyslip/placement/retry_window.h
+++ b/include/fireflyslip/placement/retry_window.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 
 #include "fireflyslip/core/time.h"
+#include "fireflyslip/placement/held_maximum.h"
 
 namespace fireflyslip {
 
@@ -111,6 +112,44 @@
   std::int64_t last_tick_ = 0;
 };
 
+/// \brief One gateway's part of the retries that all gateways may send in a
+/// window in addition to the ratio.
+class retry_allowance {
+ public:
+  retry_allowance(double total, duration window, time_point started_at)
+      : total_(total), window_(window), started_at_(started_at) {}
+
+  /// \brief Records an estimate of the number of gateways; 0 if it is unknown.
+  void SetGatewayCount(double gateways, time_point now) {
+    if (gateways > 0) {
+      gateways_.Add(std::max(gateways, 1.0), now);
+    }
+  }
+
+  /// \brief Retries per window; 0 until the number of gateways is known.
+  ///
+  /// It grows over the first window of the process, because an earlier process
+  /// may have used the part of this gateway just before.
+  double Share(time_point now) const {
+    if (gateways_.value() <= 0) {
+      return 0;
+    }
+    const double age =
+        std::clamp(ToSeconds(now - started_at_) / ToSeconds(window_), 0.0, 1.0);
+    return total_ * kUsedFraction * age / gateways_.value();
+  }
+
+ private:
+  /// The rest allows for an estimate that is too low, and for the latency
+  /// between client, gateway and upstream.
+  static constexpr double kUsedFraction = 0.5;
+
+  double total_;
+  duration window_;
+  time_point started_at_;
+  held_maximum gateways_{0};
+};
+
 }  // namespace fireflyslip
 
 #endif  // FIREFLYSLIP_PLACEMENT_RETRY_WINDOW_H_
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -32,11 +32,6 @@
 /// Fraction of the revocation timeout after which keys are stale; the rest
 /// allows for the clock resolution.
 constexpr double kKeyLifetimeFraction = 0.96;
-/// Fraction of the retry allowance that is used, because there may be more
-/// gateways than are known.
-constexpr double kRetryAllowanceFraction = 0.5;
-/// Assumed number of gateways until reports tell it.
-constexpr double kDefaultGatewayCount = 16;
 /// Fraction of the rollout timeout during which requests may start on a
 /// superseded version; the rest is for the notification of a new version and
 /// for the latency to a replica.
@@ -101,6 +96,9 @@
       settings_(settings),
       counters_(counters),
       random_(seed),
+      retry_allowance_(settings_.retry_allowance,
+                       settings_.retry_window,
+                       MonotonicNow()),
       timers_(context),
       dispatcher_(MakeDispatcher(settings, seed),
                   timers_,
@@ -238,9 +236,7 @@
 }
 
 double gateway::RetryAllowance() const {
-  const double estimate = gateway_count_.value();
-  const double gateways = estimate > 1 ? estimate : kDefaultGatewayCount;
-  return settings_.retry_allowance * kRetryAllowanceFraction / gateways;
+  return retry_allowance_.Share(MonotonicNow());
 }
 
 awaitable<void> gateway::Serve(http_request request, response_writer& writer) {
@@ -285,6 +281,7 @@
   }
   dispatcher::load_reported reported{found->second, report.load, 0};
   gateway_count_.Report(found->second, report.load.gateways);
+  retry_allowance_.SetGatewayCount(gateway_count_.value(), MonotonicNow());
   const std::uint64_t now = ClockMicroseconds();
   const std::uint64_t echo_time_us = report.echo_us + report.echo_delay_us;
   reported.load.round_trip_time =
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -86,6 +86,7 @@
   const node_settings settings_;
   metrics& counters_;
   random_source random_;
+  retry_allowance retry_allowance_;
   timer_service timers_;
   std::map<dispatch_id, exchange*> exchanges_;
   core_driver<dispatcher> dispatcher_;
--- a/tests/placement/retry_budget_replay_test.cc
+++ b/tests/placement/retry_budget_replay_test.cc
@@ -31,9 +31,11 @@
 
   struct load_pattern {
     std::size_t gateways = 6;
-    double requests_per_s = 1000;  ///< Of all gateways together.
-    std::vector<period> traffic;   ///< Factors of the rate.
-    std::vector<period> refusing;  ///< Fractions of attempts refused.
+    double requests_per_s = 1000;   ///< Of all gateways together.
+    std::vector<period> traffic;    ///< Factors of the rate.
+    std::vector<period> refusing;   ///< Fractions of attempts refused.
+    double agents_restart_at = -1;  ///< They count gateways anew, in s.
+    bool gateways_change = false;   ///< Half restart, others join and leave.
     std::uint64_t seed = 1;
   };
 
@@ -79,13 +81,18 @@
   static constexpr int kMaxAttempts = 5;
 
   struct gateway_state {
-    explicit gateway_state(double rounding)
-        : window(kWindow, kRatio, rounding) {}
+    gateway_state(time_point now, double rounding)
+        : started_at(now),
+          window(kWindow, kRatio, rounding),
+          allowance(kReserve, kWindow, now) {}
 
+    time_point started_at;
     retry_window window;
+    retry_allowance allowance;
   };
 
   struct request {
+    std::size_t gateway = 0;
     std::shared_ptr<gateway_state> process;
     int attempts = 0;
   };
@@ -128,9 +135,17 @@
 
   void Play() {
     for (std::size_t i = 0; i < load_.gateways; ++i) {
-      processes_.push_back(std::make_shared<gateway_state>(random_.Fraction()));
+      StartGateway(i);
     }
     After(duration(0), [this] { SendFromClients(); });
+    After(duration(0), [this] { Report(); });
+    if (load_.gateways_change) {
+      After(seconds(14), [this] { Restart(0, 2); });
+      After(seconds(19), [this] { Restart(0, 2); });
+      After(seconds(21), [this] { Join(load_.gateways / 2); });
+      After(seconds(30), [this] { Leave(load_.gateways / 3); });
+      After(seconds(34), [this] { Restart(1, 2); });
+    }
     while (!scheduled_.empty()) {
       const auto next = scheduled_.begin();
       now_ = next->first;
@@ -140,6 +155,53 @@
     }
   }
 
+  void StartGateway(std::size_t index) {
+    processes_.resize(std::max(processes_.size(), index + 1));
+    processes_[index] =
+        std::make_shared<gateway_state>(now_, random_.Fraction());
+  }
+
+  void Restart(std::size_t first, std::size_t step) {
+    for (std::size_t i = first; i < processes_.size(); i += step) {
+      if (processes_[i]) {
+        StartGateway(i);
+      }
+    }
+  }
+
+  void Join(std::size_t count) {
+    const std::size_t first = processes_.size();
+    for (std::size_t i = 0; i < count; ++i) {
+      StartGateway(first + i);
+    }
+  }
+
+  void Leave(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) {
+      processes_[i * 2].reset();
+    }
+  }
+
+  /// The agents count the gateways of which they have heard.
+  void Report() {
+    const auto known =
+        std::count_if(processes_.begin(), processes_.end(),
+                      [](const auto& process) { return process != nullptr; });
+    const double restarted = load_.agents_restart_at;
+    const double since = ToSeconds(now_ - kStart) - restarted;
+    const bool counts_anew = restarted >= 0 && since >= 0 && since < 1;
+    const double reported = counts_anew ? 2 : static_cast<double>(known);
+    for (const auto& process : processes_) {
+      // The first report follows the first subscription.
+      if (process && process->started_at + milliseconds(500) <= now_) {
+        process->allowance.SetGatewayCount(reported, now_);
+      }
+    }
+    if (now_ < kStart + kLength) {
+      After(milliseconds(100), [this] { Report(); });
+    }
+  }
+
   void SendFromClients() {
     const double rate =
         load_.requests_per_s * At(load_.traffic, now_, 1) * ToSeconds(kStep);
@@ -147,8 +209,11 @@
       // Addresses of clients are spread unevenly over the gateways.
       const std::size_t index = std::min(random_.Below(processes_.size()),
                                          random_.Below(processes_.size() * 3));
+      if (!processes_[index]) {
+        continue;
+      }
       ++requests_[StepAt(now_)];
-      const request item{processes_[index], 0};
+      const request item{index, processes_[index], 0};
       After(Between(milliseconds(1), milliseconds(15)), [this, item] {
         item.process->window.CountRequest(now_);
         Send(item);
@@ -160,6 +225,9 @@
   }
 
   void Send(request item) {
+    if (processes_[item.gateway] != item.process) {
+      return;  // the process has ended
+    }
     ++item.attempts;
     const duration latency = Between(milliseconds(1), milliseconds(30));
     After(latency, [this, item] {
@@ -172,14 +240,10 @@
     });
   }
 
-  double Allowance() const {
-    return kReserve / 2 / static_cast<double>(processes_.size());
-  }
-
   void Retry(const request& item) {
     gateway_state& process = *item.process;
     if (item.attempts < kMaxAttempts &&
-        process.window.Take(now_, Allowance())) {
+        process.window.Take(now_, process.allowance.Share(now_))) {
       Send(item);
     }
   }
@@ -269,5 +333,23 @@
   ExpectWithinBudget(load);
 }
 
+// Guards against gateways that forget their retries at a restart, and against
+// those that do not know how many others there are.
+TEST_F(retry_budget_replay_test, GatewaysRestartJoinLeave_WithinBudget) {
+  load_pattern load;
+  load.refusing = {{seconds(0), seconds(48), 0.5}};
+  load.gateways_change = true;
+  ExpectWithinBudget(load);
+}
+
+// Guards against agents that count the gateways anew after a restart, so that
+// each gateway takes a large part of the fixed allowance.
+TEST_F(retry_budget_replay_test, AgentsRestart_MostRefused_WithinBudget) {
+  load_pattern load;
+  load.refusing = {{seconds(15), seconds(48), 0.9}};
+  load.agents_restart_at = 20;
+  ExpectWithinBudget(load);
+}
+
 }  // namespace
 }  // namespace fireflyslip
--- a/tests/placement/retry_window_test.cc
+++ b/tests/placement/retry_window_test.cc
@@ -68,6 +68,40 @@
   EXPECT_LE(taken, 20);
 }
 
+class retry_allowance_test : public testing::Test {
+ protected:
+  static constexpr time_point kStart{seconds(100)};
+
+  retry_allowance allowance_{100, seconds(10), kStart};
+};
+
+// Guards against gateways that each take the part of a small fleet before they
+// know how many others there are.
+TEST_F(retry_allowance_test, Share_GatewaysUnknown_None) {
+  allowance_.SetGatewayCount(0, kStart);
+  EXPECT_EQ(allowance_.Share(kStart + seconds(20)), 0);
+}
+
+// Guards against a restarted process that uses a part which the process before
+// it has used in the same window.
+TEST_F(retry_allowance_test, Share_FirstWindow_GrowsFromZero) {
+  allowance_.SetGatewayCount(5, kStart);
+  EXPECT_EQ(allowance_.Share(kStart), 0);
+  EXPECT_DOUBLE_EQ(allowance_.Share(kStart + seconds(5)), 5);
+  EXPECT_DOUBLE_EQ(allowance_.Share(kStart + seconds(30)), 10);
+}
+
+// Guards against believing a count that starts from zero again because agents
+// restart.
+TEST_F(retry_allowance_test, Share_CountFallsForShortTime_Unchanged) {
+  const time_point now = kStart + seconds(30);
+  allowance_.SetGatewayCount(50, now);
+  allowance_.SetGatewayCount(2, now + seconds(1));
+  EXPECT_DOUBLE_EQ(allowance_.Share(now + seconds(1)), 1);
+  allowance_.SetGatewayCount(25, now + seconds(6));
+  EXPECT_DOUBLE_EQ(allowance_.Share(now + seconds(6)), 2);
+}
+
 class retry_window_property_test : public testing::Test {};
 
 /// Number of times in a window that begins at `begin`.
