Bound the nesting and declared sizes of CBOR from other processes

A gateway or stager that polls the VM of an entry by another writer, or that receives a datagram of one, could end by itself or stop following: 1 MB of nested arrays in an answer exhausts the stack in nlohmann::json::from_cbor(), which is recursive; an array or map that declares more elements than can exist makes it throw even if exceptions are not allowed. The exception ended the detached coroutine that polls or receives without a trace, so that no further answers, reports or subscriptions were read.

ParseCbor() first passes the input to a SAX handler that stops at 16 levels and at declared sizes above the size of the input.

relay_message_test.Answer_NestedOrDeclaredExcessively_Nothing ended with a segmentation fault with the old code, and load_report_test.Datagram_NestedOrDeclaredExcessively_Nothing failed with exception out_of_range.408. A datagram is too short (4,096 bytes) to exhaust the stack.

--- a/src/node/load_report.cc
+++ b/src/node/load_report.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "fireflyslip/core/result.h"
+#include "node/cbor.h"
 
 namespace fireflyslip {
 namespace {
@@ -136,8 +137,8 @@
 
 std::optional<load_message> DecodeLoadMessage(
     std::span<const std::uint8_t> datagram) {
-  const json value =
-      json::from_cbor(datagram.begin(), datagram.end(), true, false);
+  const json value = ParseCbor(
+      {reinterpret_cast<const char*>(datagram.data()), datagram.size()});
   if (value.is_discarded() || !value.is_array()) {
     return std::nullopt;
   }
--- a/src/node/relay_message.cc
+++ b/src/node/relay_message.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "fireflyslip/http/http_message.h"
+#include "node/cbor.h"
 #include "node/compression.h"
 
 namespace fireflyslip {
@@ -235,8 +236,7 @@
   if (!content) {
     return std::nullopt;
   }
-  const json message =
-      json::from_cbor(content->begin(), content->end(), true, false);
+  const json message = ParseCbor(*content);
   if (message.is_discarded()) {
     return std::nullopt;
   }
--- a/tests/node/load_report_test.cc
+++ b/tests/node/load_report_test.cc
@@ -74,5 +74,19 @@
   EXPECT_EQ(DecodeLoadMessage(garbage), std::nullopt);
 }
 
+// Guards against a process that no longer receives reports or subscriptions
+// after a datagram that is nested deeply or declares too many elements.
+TEST_F(load_report_test, Datagram_NestedOrDeclaredExcessively_Nothing) {
+  for (const std::uint8_t type : {0x81, 0x9f}) {
+    const std::vector<std::uint8_t> nested(kMaxLoadDatagramBytes, type);
+    EXPECT_EQ(DecodeLoadMessage(nested), std::nullopt);
+  }
+  for (const std::uint8_t type : {0x9b, 0xbb, 0x5b, 0x7b}) {
+    std::vector<std::uint8_t> declared(9, 0x7f);
+    declared[0] = type;
+    EXPECT_EQ(DecodeLoadMessage(declared), std::nullopt);
+  }
+}
+
 }  // namespace
 }  // namespace fireflyslip
--- a/tests/node/relay_message_test.cc
+++ b/tests/node/relay_message_test.cc
@@ -79,6 +79,27 @@
   EXPECT_EQ(DecodeRelayAnswer(Compress("text")), std::nullopt);
 }
 
+// Guards against an end of the process, or of the coroutine that polls, by an
+// answer that exhausts the stack or declares more elements than can exist.
+TEST_F(relay_message_test, Answer_NestedOrDeclaredExcessively_Nothing) {
+  constexpr std::size_t kLevels = 1'000'000;
+  EXPECT_EQ(DecodeRelayAnswer(Compress(std::string(kLevels, '\x81'))),
+            std::nullopt);
+  EXPECT_EQ(DecodeRelayAnswer(Compress(std::string(kLevels, '\x9f'))),
+            std::nullopt);
+  std::string maps;
+  for (std::size_t i = 0; i < kLevels; ++i) {
+    maps += "\xa1\x60";  // a map with an empty name
+  }
+  EXPECT_EQ(DecodeRelayAnswer(Compress(maps)), std::nullopt);
+  for (const char type : {'\x9b', '\xbb', '\x5b', '\x7b'}) {
+    const std::string length(8, '\x7f');
+    EXPECT_EQ(DecodeRelayAnswer(Compress(type + length)), std::nullopt);
+    EXPECT_EQ(DecodeRelayAnswer(Compress("\x81" + (type + length))),
+              std::nullopt);
+  }
+}
+
 // Guards against an answer that fills the link of a replica's VM: at the start
 // it goes to each process of the data centre.
 TEST_F(relay_message_test, Answer_AllUpstreamsOfLargeFleet_Small) {
