--- a/tests/adapter/catalog_codec_test.cc
+++ b/tests/adapter/catalog_codec_test.cc
@@ -90,6 +90,50 @@
   EXPECT_FALSE(DecodeUpstream("i-1", json("text")));
 }
 
+// Guards against requests for an upstream whose address no replica can have,
+// and against a relay that is looked for there.
+TEST_F(catalog_codec_test, Upstream_UnusableAddress_Nothing) {
+  const std::string long_text(500'000, '1');
+  for (const std::string& address :
+       std::vector<std::string>{"10.0.0.1:65536",
+                                "10.0.0.1:99999",
+                                "10.0.0.1:4294967376",
+                                "10.0.0.1:0",
+                                "10.0.0.1:-80",
+                                "10.0.0.1:+80",
+                                "10.0.0.1: 80",
+                                "10.0.0.1:80 ",
+                                "10.0.0.1:",
+                                "10.0.0.1:80x",
+                                "10.0.0.1:8.0",
+                                "10.0.0.1",
+                                ":80",
+                                "80",
+                                "",
+                                "[::1]:80",
+                                "10.0.0.256:80",
+                                "10.0.0:80",
+                                "host.example:80",
+                                "10.0.0.1:80:80",
+                                "0.0.0.0:80",
+                                "[::]:80",
+                                "224.0.0.1:80",
+                                "255.255.255.255:80",
+                                "http://10.0.0.1:80",
+                                std::string("10.0.0.1\0:80", 12),
+                                "10.0.0.1:" + long_text,
+                                long_text + ":80"}) {
+    json odd = entry_;
+    odd["address"] = address;
+    EXPECT_FALSE(DecodeUpstream("i-1", odd)) << address.substr(0, 40);
+  }
+  for (const char* address : {"10.0.0.1:1", "10.0.0.1:65535"}) {
+    json sound = entry_;
+    sound["address"] = address;
+    EXPECT_TRUE(DecodeUpstream("i-1", sound)) << address;
+  }
+}
+
 // Guards against losing a whole list because one string is not valid UTF-8.
 TEST_F(catalog_codec_test, ParseJson_InvalidUtf8_OtherValuesRead) {
   const json value = ParseJson("{\"a\": \"\xff\xfe\", \"b\": 1}");
