--- a/tests/adapter/catalog_codec_test.cc
+++ b/tests/adapter/catalog_codec_test.cc
@@ -134,6 +134,28 @@
   }
 }
 
+// Guards against an upstream of another writer that takes all requests because
+// of its slots, and against numbers that are read as other ones.
+TEST_F(catalog_codec_test, Upstream_NumberOutOfRange_Nothing) {
+  for (const char* field : {"slots", "sequence", "born"}) {
+    for (const char* number :
+         {"-1", "1.5", "1e3", "1e300", "18446744073709551616",
+          "99999999999999999999999", "-9223372036854775808"}) {
+      json odd = entry_;
+      odd[field] = json::parse(number);
+      EXPECT_FALSE(DecodeUpstream("i-1", odd)) << field << " " << number;
+    }
+  }
+  for (const char* slots : {"0", "4294967296", "18446744073709551615"}) {
+    json odd = entry_;
+    odd["slots"] = json::parse(slots);
+    EXPECT_FALSE(DecodeUpstream("i-1", odd)) << slots;
+  }
+  json without_start = entry_;
+  without_start.erase("born");
+  EXPECT_TRUE(DecodeUpstream("i-1", without_start));
+}
+
 // Guards against losing a whole list because one string is not valid UTF-8.
 TEST_F(catalog_codec_test, ParseJson_InvalidUtf8_OtherValuesRead) {
   const json value = ParseJson("{\"a\": \"\xff\xfe\", \"b\": 1}");
