--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -75,8 +75,7 @@
   /// \brief Assumed age, at the start of a process, of versions that it then
   /// finds published.
   duration InitialVersionAge() const {
-    return std::max(rollout_timeout * 11 / 20,
-                    SupersededAfter() - startup_grace);
+    return std::max(rollout_timeout * 11 / 20, rollout_timeout - startup_grace);
   }
   /// \brief Returns the region of a data centre, or the name of the data centre
   /// if its region is unknown.
--- a/tests/node/node_settings_test.cc
+++ b/tests/node/node_settings_test.cc
@@ -67,8 +67,9 @@
     version_targets targets(ValueOf(settings).SupersededAfter());
     change_age age(start, ValueOf(settings).InitialVersionAge());
     targets.Publish(model_name("m"), 2, age.EarliestChange(start), start);
+    // The reserve for notification and latency is kept.
     EXPECT_LE(*targets.SupersededAt(model_name("m"), 1, start),
-              start + milliseconds(grace_ms));
+              start + milliseconds(grace_ms) - milliseconds(400));
   }
 }
 
