Look for relays and peers again after a relay left the candidates

An agent took its relay for usable after it had left the candidates, for example when all entries of its data centre had expired, and then never listed the upstreams again: it now counts only while it responds within the time in which it must. An agent that refreshed its peers shortly before a new version kept the holders of the previous one. An agent whose first list was empty, because replicas register a second after the start, waited for several seconds and took itself for the only agent; it now reads again after 1.5 s.

--- a/include/fireflyslip/catalog/relay_selector.h
+++ b/include/fireflyslip/catalog/relay_selector.h
@@ -87,7 +87,10 @@
   std::optional<time_point> NextDeadline() const;
 
   bool is_watching_store() const { return watching_store_; }
-  /// \brief Address of the relay in use; empty if it failed.
+  /// \brief Whether a relay has responded recently and was current.
+  bool IsServed(time_point now) const;
+  /// \brief Address of the relay in use; empty if it failed. It may be no
+  /// candidate any more, and is then not polled.
   const std::string& current() const { return current_; }
 
  private:
@@ -104,8 +107,6 @@
   void Block(candidate& relay, relay_poll_status status, time_point now);
   /// \brief Hold time of a poll of the relay in use.
   duration HoldTime(time_point now) const;
-  /// \brief Whether a relay has responded recently and was current.
-  bool IsServed(time_point now) const;
   bool MustWatchStore(time_point now) const;
 
   relay_policy policy_;
--- a/include/fireflyslip/staging/peer_refresh.h
+++ b/include/fireflyslip/staging/peer_refresh.h
@@ -15,6 +15,8 @@
   duration relay_interval = milliseconds(1500);
   /// Mean interval at which they are read from the store if there is no relay.
   duration store_interval = seconds(6);
+  /// Mean interval of these reads while no peers are known.
+  duration retry_interval = milliseconds(1500);
   /// Longest delay of a read from the store after the relay in use was lost.
   duration relay_loss_delay = seconds(3);
 
@@ -44,6 +46,10 @@
   /// the list is read from the store unless a relay is in use again by then.
   void RecordRelayLost(time_point now);
 
+  /// \brief No peers are known after a read from the store: replicas that have
+  /// just started may not be registered yet.
+  void RecordNoPeers(time_point now);
+
  private:
   /// Random factor in [1 - spread, 1 + spread).
   double Jitter(double spread) {
--- a/src/node/relay_client.h
+++ b/src/node/relay_client.h
@@ -41,7 +41,7 @@
   void SetRelays(std::vector<std::string> addresses);
 
   /// \brief Whether a relay with a current view is in use.
-  bool has_relay() const { return !selector_.core().current().empty(); }
+  bool HasRelay() const { return selector_.core().IsServed(MonotonicNow()); }
 
   /// \brief Reads the changes of the upstreams after a revision from the relay
   /// in use.
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -317,6 +317,7 @@
   chunks_.Reset(version, manifest.digests);
   chunk_server_.NotifyVersionChanged();
   co_await RefreshPeers(true);
+  SetPeers();  // which of them hold the version
   LogLine("event=target version=" + std::to_string(version) +
           " chunks=" + std::to_string(manifest.digests.size()));
   const weight_stager::target_assigned target{version, manifest.digests.size(),
@@ -369,7 +370,7 @@
 
 awaitable<void> stager::RefreshPeers(bool fetching) {
   const auto source =
-      peer_refresh_.Next(fetching, relay_client_.has_relay(), MonotonicNow());
+      peer_refresh_.Next(fetching, relay_client_.HasRelay(), MonotonicNow());
   if (source == peer_refresh::source::kRelay) {
     co_await ReadPeerChanges();
   } else if (source == peer_refresh::source::kStore) {
@@ -402,6 +403,7 @@
   const auto listed = co_await store_.List(kind, true, kStoreTimeout);
   if (!IsOk(listed)) {
     if (peers_.empty()) {
+      peer_refresh_.RecordNoPeers(MonotonicNow());
       relay_client_.SetRelays({});  // the store is watched until there are some
     }
     co_return;
@@ -416,6 +418,9 @@
   // The list may be older than the revision that comes with it.
   upstreams_revision_ = 0;
   SetPeers();
+  if (peers_.empty()) {
+    peer_refresh_.RecordNoPeers(MonotonicNow());
+  }
   relay_client_.SetRelays(SelectRelays(upstreams_, settings_.data_centre));
 }
 
--- a/src/staging/peer_refresh.cc
+++ b/src/staging/peer_refresh.cc
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace fireflyslip {
+namespace {
+
+/// Spread of the intervals between reads from the store.
+constexpr double kSpread = 0.25;
+
+}  // namespace
 
 std::optional<peer_refresh::source> peer_refresh::Next(bool fetching,
                                                        bool has_relay,
@@ -20,7 +26,6 @@
   if (!due_after_loss && (!fetching || now < store_due_)) {
     return std::nullopt;
   }
-  constexpr double kSpread = 0.25;
   relay_lost_due_.reset();
   last_read_ = now;
   store_due_ =
@@ -29,10 +34,15 @@
 }
 
 void peer_refresh::RecordRelayLost(time_point now) {
-  constexpr double kSpread = 1.0 / 3;
-  const double mean = ToSeconds(policy_.relay_loss_delay) / (1 + kSpread);
-  relay_lost_due_ = now + FromSeconds(mean * Jitter(kSpread));
+  constexpr double kLossSpread = 1.0 / 3;
+  const double mean = ToSeconds(policy_.relay_loss_delay) / (1 + kLossSpread);
+  relay_lost_due_ = now + FromSeconds(mean * Jitter(kLossSpread));
   store_due_ = std::max(store_due_, *relay_lost_due_);
 }
 
+void peer_refresh::RecordNoPeers(time_point now) {
+  store_due_ =
+      now + FromSeconds(ToSeconds(policy_.retry_interval) * Jitter(kSpread));
+}
+
 }  // namespace fireflyslip
--- a/tests/catalog/relay_selector_test.cc
+++ b/tests/catalog/relay_selector_test.cc
@@ -120,6 +120,19 @@
   EXPECT_EQ(store_watches_, 0);
 }
 
+// Guards against a process that takes a relay for usable long after it was
+// removed from the candidates, and never looks for others.
+TEST_F(relay_selector_test, Candidates_RemovedDuringPoll_NotServedForLong) {
+  StartWith("a", "b");
+  Send(selector::candidates_changed{{}});
+  Answer(relay_poll_status::kFresh);
+  EXPECT_TRUE(selector_.IsServed(now_));
+  store_watches_ = 0;
+  Advance(relay_policy{}.max_silence + milliseconds(1));
+  EXPECT_FALSE(selector_.IsServed(now_));
+  EXPECT_EQ(store_watches_, 1);
+}
+
 // Guards against staying with the store after the relays have recovered.
 TEST_F(relay_selector_test, Relays_Recover_StoreLeft) {
   StartWith("a", "b");
--- a/tests/staging/peer_refresh_test.cc
+++ b/tests/staging/peer_refresh_test.cc
@@ -73,6 +73,19 @@
   EXPECT_EQ(store_reads_, before);
 }
 
+// Guards against agents that start before the replicas are registered and each
+// take themselves for the only one.
+TEST_F(peer_refresh_test, Peers_None_StoreReadAgainSoon) {
+  has_relay_ = false;
+  Run(kStep, true);
+  EXPECT_EQ(store_reads_, kAgents);
+  for (peer_refresh& agent : agents_) {
+    agent.RecordNoPeers(now_);
+  }
+  Run(seconds(2), true);
+  EXPECT_EQ(store_reads_, kAgents * 2);
+}
+
 // Guards against agents that never learn of the replacement of their relays.
 TEST_F(peer_refresh_test, Relay_LostForGood_EachAgentReadsStoreAtTimes) {
   LoseRelay();
