Count a retry when it is sent, not when it is decided

Services may get more retries in a window than the budget allows when retries wait for a place: those of several seconds then arrive together.

Cause: a gateway took a retry from the budget when an attempt failed. The retry is sent when the dispatcher has placed it, which may be seconds later, in another window.

The retry is still taken when it is decided, so that no more of them wait than the budget allows. When it has been placed, it is moved to the present; if the budget of the present does not allow it, the request is answered as if no retry had been available. A retry that is not sent is given back.

The test of the gateway fails without the change to the exchange: 6 instead of 5 requests reach an upstream.

--- a/include/fireflyslip/placement/retry_window.h
+++ b/include/fireflyslip/placement/retry_window.h
@@ -74,6 +74,16 @@
     return true;
   }
 
+  /// \brief Gives back a retry that was taken but not sent.
+  void Return(time_point taken_at, time_point now) {
+    Advance(now);
+    const std::int64_t age = last_tick_ - Tick(taken_at);
+    if (age < static_cast<std::int64_t>(kStoredTicks) &&
+        At(static_cast<std::size_t>(age)).retries > 0) {
+      --At(static_cast<std::size_t>(age)).retries;
+    }
+  }
+
  private:
   static constexpr std::size_t kTicks = 100;  // per window
   static constexpr std::size_t kStoredTicks = kTicks * 3 / 2 + 1;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -106,30 +106,46 @@
     }
   });
   gateway_.RetryBudget(service_).CountRequest(received_at_);
+  attempt_report previous;
   for (;;) {
     const bool placed = co_await AwaitPlacement();
     if (!placed) {
       break;
     }
+    if (!ConfirmRetry()) {
+      gateway_.Handle(
+          dispatcher::attempt_completed{id_, attempt_status::kAbandoned});
+      const retry_decision decision =
+          previous.outcome == attempt_outcome::kRanAndFailed
+              ? retry_decision::kForwardError
+          : history_.may_have_run == 0 ? retry_decision::kRefuse
+                                       : retry_decision::kReportUnknown;
+      co_await SendFailure(decision, previous);
+      break;
+    }
     gateway_.crashes().AttemptStarted(id_, placement_->upstream,
                                       metadata_.shared_prompt_parts);
-    const attempt_report report = co_await RunAttempt();
+    attempt_report report = co_await RunAttempt();
+    if (report.outcome != attempt_outcome::kNotSent) {
+      retry_taken_at_.reset();
+    }
     gateway_.crashes().AttemptEnded(id_, report.interrupted, MonotonicNow());
     gateway_.Handle(dispatcher::attempt_completed{id_, report.status});
     if (report.delivered || cancel_cause_ != cancel_cause::kNone) {
       break;
     }
     last_failure_ = report.detail;
-    const retry_decision decision =
-        DecideRetry(*route_, history_, report.outcome, [this] {
-          return RemainingTime() > kMinAttemptTime &&
-                 gateway_.RetryBudget(service_).Take(MonotonicNow(),
-                                                     gateway_.RetryAllowance());
-        });
+    const retry_decision decision = DecideRetry(
+        *route_, history_, report.outcome,
+        [this] { return RemainingTime() > kMinAttemptTime && TakeRetry(); });
     if (decision != retry_decision::kRetryElsewhere) {
       co_await SendFailure(decision, report);
       break;
     }
+    previous = std::move(report);
+  }
+  if (retry_taken_at_) {
+    gateway_.RetryBudget(service_).Return(*retry_taken_at_, MonotonicNow());
   }
   // The deadline may pass while a slow client reads the response.
   if (cancel_cause_ != cancel_cause::kNone && !response_sent_) {
@@ -227,6 +243,24 @@
          gateway_.crashes().IsBlocked(metadata_.shared_prompt_parts);
 }
 
+bool exchange::TakeRetry() {
+  const time_point now = MonotonicNow();
+  if (!gateway_.RetryBudget(service_).Take(now, gateway_.RetryAllowance())) {
+    return false;
+  }
+  retry_taken_at_ = now;
+  return true;
+}
+
+bool exchange::ConfirmRetry() {
+  if (!retry_taken_at_) {
+    return true;
+  }
+  gateway_.RetryBudget(service_).Return(*retry_taken_at_, MonotonicNow());
+  retry_taken_at_.reset();
+  return TakeRetry();
+}
+
 awaitable<bool> exchange::AwaitPlacement() {
   if (IsBlocked()) {
     co_await SendBlocked();
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -58,6 +58,11 @@
   /// \brief Whether a part of the prompt crashes upstreams. A stream that has
   /// begun is not affected.
   bool IsBlocked() const;
+  /// \brief Takes one retry from the budget of the service.
+  bool TakeRetry();
+  /// \brief Moves a retry that was taken when it was decided to the present, at
+  /// which it is sent; false if the budget does not allow it any more.
+  bool ConfirmRetry();
   boost::asio::awaitable<bool> AwaitPlacement();
   boost::asio::awaitable<attempt_report> RunAttempt();
   boost::asio::awaitable<attempt_report> ForwardResponse(
@@ -106,6 +111,7 @@
 
   std::optional<dispatcher::start> placement_;
   std::optional<dispatcher::refuse> rejection_;
+  std::optional<time_point> retry_taken_at_;  // until the retry is sent
   attempt_history history_;
   std::set<upstream_id> excluded_upstreams_;
   stream_cursor cursor_;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -7,6 +9,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -79,6 +83,51 @@
   EXPECT_EQ(CallStatus(MakeRequest("/book/1")), 200);
 }
 
+// Guards against retries that are decided while the budget allows them, but
+// sent in a later window with others, because they wait for a place.
+TEST_F(gateway_test, Retry_WaitsUntilBudgetExpires_NotSent) {
+  settings_.retry_window = milliseconds(250);
+  gateway_ = std::make_unique<gateway>(context_, settings_, counters_, 1);
+  const auto port = gateway_->Listen();
+  ASSERT_TRUE(IsOk(port));
+  gateway_endpoint_ = {"127.0.0.1", ValueOf(port)};
+  Configure();
+  http_response refusal = MakeResponse(503, "");
+  refusal.fields.push_back({"Not-Executed", "1"});
+  AddUpstream(RespondWith(refusal));
+  upstream& slow = AddUpstream(
+      [this](http_request, response_writer& writer) -> awaitable<void> {
+        boost::asio::steady_timer timer(context_, milliseconds(600));
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        http_response answer = MakeResponse(200, "ok");
+        co_await writer.Send(std::move(answer));
+      });
+  entries_[upstream_id("i-2")].slots = 1;
+  gateway_->SetUpstreams(std::make_shared<const upstream_map>(entries_));
+  for (int i = 0; i < 5; ++i) {
+    AllowRetries();
+  }
+  // One more than the second upstream gets at the same time.
+  std::array<std::optional<result<http_response>>, 6> answers;
+  const http_request request = MakeRequest("/look/1");
+  for (auto& answer : answers) {
+    boost::asio::co_spawn(context_, Send(request, answer),
+                          boost::asio::detached);
+  }
+  context_.restart();
+  while (std::any_of(answers.begin(), answers.end(),
+                     [](const auto& answer) { return !answer; })) {
+    context_.run_one();
+  }
+  std::map<int, int> statuses;
+  for (const auto& answer : answers) {
+    ASSERT_TRUE(IsOk(*answer));
+    ++statuses[ValueOf(*answer).status];
+  }
+  EXPECT_EQ(statuses, (std::map<int, int>{{200, 5}, {503, 1}}));
+  EXPECT_EQ(slow.received.size(), 5U);
+}
+
 // Guards against a response without a retry delay when no upstream ran the
 // request and no further upstream is available.
 TEST_F(gateway_test, NonIdempotent_NotExecutedAnywhere_503WithRetryAfter) {
--- a/tests/placement/retry_budget_replay_test.cc
+++ b/tests/placement/retry_budget_replay_test.cc
@@ -36,6 +36,7 @@
     std::vector<period> refusing;   ///< Fractions of attempts refused.
     double agents_restart_at = -1;  ///< They count gateways anew, in s.
     bool gateways_change = false;   ///< Half restart, others join and leave.
+    seconds places_free_at{0};      ///< Retries of the 3 s before wait for it.
     std::uint64_t seed = 1;
   };
 
@@ -216,7 +217,7 @@
       const request item{index, processes_[index], 0};
       After(Between(milliseconds(1), milliseconds(15)), [this, item] {
         item.process->window.CountRequest(now_);
-        Send(item);
+        Send(item, duration(0));
       });
     }
     if (now_ < kStart + kLength) {
@@ -224,13 +225,13 @@
     }
   }
 
-  void Send(request item) {
+  void Send(request item, duration wait) {
     if (processes_[item.gateway] != item.process) {
       return;  // the process has ended
     }
     ++item.attempts;
     const duration latency = Between(milliseconds(1), milliseconds(30));
-    After(latency, [this, item] {
+    After(wait + latency, [this, item] {
       if (item.attempts > 1) {
         ++retries_[StepAt(now_)];
       }
@@ -240,12 +241,28 @@
     });
   }
 
+  duration Wait() {
+    const duration until_free = kStart + load_.places_free_at - now_;
+    return until_free > duration(0) && until_free <= seconds(3)
+               ? until_free
+               : Between(duration(0), milliseconds(20));
+  }
+
+  /// A retry is taken when it is decided, and again when it leaves the queue.
   void Retry(const request& item) {
     gateway_state& process = *item.process;
-    if (item.attempts < kMaxAttempts &&
-        process.window.Take(now_, process.allowance.Share(now_))) {
-      Send(item);
+    if (item.attempts >= kMaxAttempts ||
+        !process.window.Take(now_, process.allowance.Share(now_))) {
+      return;
     }
+    const time_point taken_at = now_;
+    After(Wait(), [this, item, taken_at] {
+      gateway_state& sender = *item.process;
+      sender.window.Return(taken_at, now_);
+      if (sender.window.Take(now_, sender.allowance.Share(now_))) {
+        Send(item, duration(0));
+      }
+    });
   }
 
   const load_pattern load_;
@@ -351,5 +368,14 @@
   ExpectWithinBudget(load);
 }
 
+// Guards against retries that are counted when they are decided but wait for a
+// place, so that those of a longer time arrive in one window.
+TEST_F(retry_budget_replay_test, RetriesWaitForPlaces_WithinBudget) {
+  load_pattern load;
+  load.refusing = {{seconds(0), seconds(48), 0.5}};
+  load.places_free_at = seconds(20);
+  ExpectWithinBudget(load);
+}
+
 }  // namespace
 }  // namespace fireflyslip
--- a/tests/placement/retry_window_test.cc
+++ b/tests/placement/retry_window_test.cc
@@ -68,6 +68,22 @@
   EXPECT_LE(taken, 20);
 }
 
+// Guards against a budget that is used up by retries that were not sent.
+TEST_F(retry_window_test, Return_NotSent_TakenAgain) {
+  for (int i = 0; i < 100; ++i) {
+    window_.CountRequest(now_);
+  }
+  now_ += milliseconds(200);
+  while (window_.Take(now_, 0)) {
+  }
+  const time_point taken_at = now_;
+  now_ += milliseconds(200);
+  ASSERT_FALSE(window_.Take(now_, 0));
+  window_.Return(taken_at, now_);
+  EXPECT_TRUE(window_.Take(now_, 0));
+  EXPECT_FALSE(window_.Take(now_, 0));
+}
+
 class retry_allowance_test : public testing::Test {
  protected:
   static constexpr time_point kStart{seconds(100)};
