--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -6,7 +6,10 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/url/pct_string_view.hpp>
+#include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 #include "fireflyslip/http.h"
 
@@ -37,6 +40,25 @@
     co_await writer.End();
   }
 
+  /// Lists a kind of the store at a server.
+  result<store_listing> List(http_server& server) {
+    const auto port = server.Listen({"127.0.0.1", 0});
+    EXPECT_TRUE(IsOk(port));
+    store_client client(context_, {"127.0.0.1", ValueOf(port)});
+    result<store_listing> listed = error{error_kind::kInternalError, "no end"};
+    const std::string kind = "servers";
+    boost::asio::co_spawn(
+        context_,
+        [&]() -> awaitable<void> {
+          listed = co_await client.List(kind, false, seconds(1));
+          context_.stop();
+        },
+        boost::asio::detached);
+    context_.restart();
+    context_.run();
+    return listed;
+  }
+
   boost::asio::io_context context_;
 };
 
@@ -67,5 +89,74 @@
   EXPECT_EQ(ValueOf(*listed).revision, 7U);
 }
 
+// Guards against a list that fails, or that is read without end, because the
+// name of the last entry of a page has characters with a meaning in a request
+// target, or is missing.
+TEST_F(store_client_test, List_PageEndsWithOddName_Continued) {
+  const std::vector<std::string> names = {
+      "a b", "a&watchRevision=1", "a%41", "a#b",
+      "a+b", "a\r\nb: c",         "é?",   "z/../"};
+  for (const std::string& last : names) {
+    std::string after;
+    http_server server(
+        context_, {},
+        [&](http_request request, response_writer& writer) -> awaitable<void> {
+          after = request.QueryParameter("after");
+          const nlohmann::json entry = {{"metadata", {{"name", last}}}};
+          http_response response;
+          response.body = nlohmann::json{
+              {"at", 7},
+              {"hasMore", after.empty()},
+              {"entries",
+               {entry}}}.dump();
+          co_await writer.Send(std::move(response));
+        });
+    const auto listed = List(server);
+    ASSERT_TRUE(IsOk(listed)) << last << ": " << ErrorOf(listed).detail;
+    EXPECT_EQ(ValueOf(listed).objects.size(), 2U) << last;
+    EXPECT_EQ(boost::urls::pct_string_view(after).decode(), last);
+  }
+}
+
+// The same for an entry whose name cannot be read.
+TEST_F(store_client_test, List_PageEndsWithoutName_ContinuedAfterLastName) {
+  std::string after;
+  http_server server(
+      context_, {},
+      [&](http_request request, response_writer& writer) -> awaitable<void> {
+        after = request.QueryParameter("after");
+        http_response response;
+        response.body =
+            after.empty()
+                ? R"({"at":7,"hasMore":true,"entries":[{"metadata":)"
+                  R"({"name":"a"}},{}]})"
+                : R"({"at":7,"hasMore":false,"entries":[{},{"metadata":)"
+                  R"({"name":"b"}}]})";
+        co_await writer.Send(std::move(response));
+      });
+  const auto listed = List(server);
+  ASSERT_TRUE(IsOk(listed)) << ErrorOf(listed).detail;
+  EXPECT_EQ(after, "a");
+  EXPECT_EQ(ValueOf(listed).objects.back().name, "b");
+}
+
+TEST_F(store_client_test, List_PageDoesNotAdvance_Fails) {
+  for (const char* entry : {"{}", R"({"metadata":{"name":"a"}})"}) {
+    int requests = 0;
+    http_server server(
+        context_, {},
+        [&](http_request, response_writer& writer) -> awaitable<void> {
+          constexpr int kMaxRequests = 50;
+          http_response response;
+          response.body = R"({"at":7,"entries":[)" + std::string(entry);
+          response.body += R"(],"hasMore":)";
+          response.body += ++requests < kMaxRequests ? "true}" : "false}";
+          co_await writer.Send(std::move(response));
+        });
+    EXPECT_FALSE(IsOk(List(server))) << entry;
+    EXPECT_LE(requests, 2) << entry;
+  }
+}
+
 }  // namespace
 }  // namespace fireflyslip::platform
