Compare positions of the store by era and revision; list after a restore

Callers saw the state of before a restore of the platform's store: a watch kept the revision that it knew, and after the store had come back from an older copy and given that revision out again, the watch returned only later changes. What was undone, or made again below that revision, was never seen, and a list of a lower revision was dropped as older.

Add store_position, ordered by era and then revision, and watch_position, which decides what a response means: a newer era makes the kind be listed and its changes are not applied, a response of an older era is a failure. The client reads the era from the header Store-Era of all responses, also of failures; without the header it is 0.

Failed before: kind_watch_test.StoreRestored_RevisionGivenOutAgain_AllSeen, StoreRestored_Refresh_ListReported and StoreStatesOlderEra_Changes_NotReported. StoreRestored_ChangeBelowKnownRevision_SeenAtOnce passed before, as the store answers 410 there.

Relays and feeds still keep numbers without an era, so a watch that continues from what a relay has told lists once.

--- a/include/fireflyslip/catalog.h
+++ b/include/fireflyslip/catalog.h
@@ -9,6 +9,7 @@
 #include "fireflyslip/catalog/pending_confirmations.h"
 #include "fireflyslip/catalog/relay_selector.h"
 #include "fireflyslip/catalog/route_table.h"
+#include "fireflyslip/catalog/store_position.h"
 #include "fireflyslip/catalog/upstream_entry.h"
 #include "fireflyslip/catalog/upstream_history.h"
 #include "fireflyslip/catalog/upstream_registry.h"
--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -161,9 +161,9 @@
 void catalog_feed::SetFollowingStore(bool following) {
   if (following) {
     version_age_.RecordInterruption(MonotonicNow());
-    configuration_watch_.AdvanceRevision(*known_revisions_.configuration);
-    upstream_watch_.AdvanceRevision(*known_revisions_.upstreams);
-    version_watch_.AdvanceRevision(*known_revisions_.versions);
+    configuration_watch_.Advance({0, *known_revisions_.configuration});
+    upstream_watch_.Advance({0, *known_revisions_.upstreams});
+    version_watch_.Advance({0, *known_revisions_.versions});
   }
   configuration_watch_.SetFollowing(following);
   upstream_watch_.SetFollowing(following);
@@ -209,7 +209,7 @@
     }
   }
   // A watch of the store that is still in progress may return older changes.
-  upstream_watch_.AdvanceRevision(*known_revisions_.upstreams);
+  upstream_watch_.Advance({0, *known_revisions_.upstreams});
   known_revisions_.versions =
       std::max(*known_revisions_.versions, answer.versions->revision);
   // The answer may have been delayed by as much as the poll took.
@@ -265,9 +265,9 @@
     }
   };
   callbacks.on_confirmed = [this](const watch_freshness& freshness,
-                                  std::uint64_t revision) {
+                                  const store_position& position) {
     known_revisions_.configuration =
-        std::max(*known_revisions_.configuration, revision);
+        std::max(*known_revisions_.configuration, position.revision);
     // The store confirms the newest version, whose content may not have been
     // read if a relay announced it.
     const std::uint64_t version = deployment_ ? deployment_->version : 0;
@@ -313,9 +313,9 @@
     ApplyUpstream(decoded, !change.removed && !decoded.entry);
   };
   callbacks.on_confirmed = [this](const watch_freshness&,
-                                  std::uint64_t revision) {
+                                  const store_position& position) {
     known_revisions_.upstreams =
-        std::max(*known_revisions_.upstreams, revision);
+        std::max(*known_revisions_.upstreams, position.revision);
   };
   return callbacks;
 }
@@ -355,9 +355,10 @@
     version_age_.RecordInterruption(MonotonicNow());
   };
   callbacks.on_confirmed = [this](const watch_freshness& freshness,
-                                  std::uint64_t revision) {
+                                  const store_position& position) {
     version_age_.ConfirmCurrent(*freshness.current_as_of());
-    known_revisions_.versions = std::max(*known_revisions_.versions, revision);
+    known_revisions_.versions =
+        std::max(*known_revisions_.versions, position.revision);
   };
   return callbacks;
 }
--- a/src/node/catalog_relay.cc
+++ b/src/node/catalog_relay.cc
@@ -109,11 +109,11 @@
     }
   };
   callbacks.on_confirmed = [this](const watch_freshness& freshness,
-                                  std::uint64_t revision) {
+                                  const store_position& position) {
     configuration_freshness_ = freshness;
     configuration_confirmed_ = MonotonicNow();
     if (configuration_revision_ == 0 && configuration_version_ > 0) {
-      configuration_revision_ = revision;
+      configuration_revision_ = position.revision;
     }
     WakeWaiters();
   };
@@ -156,12 +156,12 @@
                                                    change.object.content)});
   };
   callbacks.on_confirmed = [this](const watch_freshness&,
-                                  std::uint64_t revision) {
+                                  const store_position& position) {
     if (pending_list_) {
-      upstreams_.Replace(*pending_list_, revision);
+      upstreams_.Replace(*pending_list_, position.revision);
       pending_list_.reset();
     }
-    upstreams_.Apply(pending_changes_, revision);
+    upstreams_.Apply(pending_changes_, position.revision);
     pending_changes_.clear();
     relays_ = SelectRelays(upstreams_.Present(), data_centre_);
     upstreams_confirmed_ = MonotonicNow();
@@ -187,11 +187,11 @@
     version_age_.RecordInterruption(MonotonicNow());
   };
   callbacks.on_confirmed = [this](const watch_freshness& freshness,
-                                  std::uint64_t revision) {
+                                  const store_position& position) {
     version_age_.ConfirmCurrent(*freshness.current_as_of());
     versions_confirmed_ = MonotonicNow();
     if (versions_revision_ == 0) {
-      versions_revision_ = revision;
+      versions_revision_ = position.revision;
     }
     WakeWaiters();
   };
--- a/src/node/kind_watch.cc
+++ b/src/node/kind_watch.cc
@@ -41,7 +41,7 @@
   for (;;) {
     if (!following_) {
       co_await WaitUntilFollowing();
-    } else if (revision_ == 0) {
+    } else if (position_.MustList()) {
       co_await Refresh();
       co_await BackOff();
     } else {
@@ -57,8 +57,8 @@
   following_changed_.cancel();
 }
 
-void kind_watch::AdvanceRevision(std::uint64_t revision) {
-  revision_ = std::max(revision_, revision);
+void kind_watch::Advance(const store_position& position) {
+  position_.Advance(position);
 }
 
 awaitable<void> kind_watch::WaitUntilFollowing() {
@@ -70,20 +70,33 @@
 
 awaitable<bool> kind_watch::Refresh() {
   const time_point sent = MonotonicNow();
+  const std::uint64_t sent_era = position_.era();
   const auto listed =
       co_await store_.List(settings_.kind, false, kRequestTimeout);
+  position_.ObserveEra(store_.newest_era());
   if (!IsOk(listed)) {
     RecordFailure(ErrorOf(listed), sent);
     co_return false;
   }
+  const store_position before = position_.known();
+  const store_position at = ValueOf(listed).position;
+  const watch_position::outcome outcome = position_.ReceiveList(sent_era, at);
+  if (outcome == watch_position::outcome::kOutdated) {
+    RecordOutdated(sent);
+    co_return false;
+  }
   RecordResponse();
-  if (ValueOf(listed).revision < revision_) {
+  if (outcome == watch_position::outcome::kSuperseded) {
     co_return true;  // later changes are known from elsewhere
   }
+  if (at.era > before.era && before != store_position{}) {
+    LogLine("event=store_restored kind=" + settings_.kind +
+            " era=" + std::to_string(at.era) +
+            " revision=" + std::to_string(at.revision));
+  }
   handlers_.on_list(ValueOf(listed));
-  AdvanceRevision(ValueOf(listed).revision);
   freshness_.ConfirmRead(sent);
-  handlers_.on_confirmed(freshness_, ValueOf(listed).revision);
+  handlers_.on_confirmed(freshness_, at);
   co_return true;
 }
 
@@ -91,31 +104,38 @@
   const time_point sent = MonotonicNow();
   const duration wait =
       confirmed_ ? settings_.watch_duration : duration(kConfirmationWait);
-  const auto answer = co_await store_.Watch(settings_.kind, revision_, wait,
+  const store_position from = position_.known();
+  const auto answer = co_await store_.Watch(settings_.kind, from.revision, wait,
                                             wait + kRequestTimeout);
+  position_.ObserveEra(store_.newest_era());
   if (!IsOk(answer)) {
     RecordFailure(ErrorOf(answer), sent);
     if (ErrorOf(answer).kind == error_kind::kNotFound) {
-      revision_ = 0;
+      position_.RecordCompacted(from);
     }
     co_return;
   }
-  RecordResponse();
   const platform::store_changes& changes = ValueOf(answer);
-  if (changes.revision < revision_) {
-    co_return;  // later changes are known from elsewhere
+  const watch_position::outcome outcome =
+      position_.ReceiveChanges(from, changes.position);
+  if (outcome == watch_position::outcome::kOutdated) {
+    RecordOutdated(sent);
+    co_return;
+  }
+  RecordResponse();
+  if (outcome == watch_position::outcome::kSuperseded) {
+    co_return;  // later changes are known from elsewhere, or must be listed
   }
   for (const platform::store_change& change : changes.changes) {
     handlers_.on_change(change);
   }
-  AdvanceRevision(changes.revision);
   // A watch that ends early without events was terminated by the store.
   if (changes.changes.empty() && MonotonicNow() - sent >= wait) {
     freshness_.ConfirmEmptyWatch(sent, wait);
   } else {
     freshness_.ConfirmRead(sent);
   }
-  handlers_.on_confirmed(freshness_, changes.revision);
+  handlers_.on_confirmed(freshness_, changes.position);
   if (!changes.changes.empty() && settings_.batch_delay.count() > 0) {
     co_await Sleep(settings_.batch_delay);
   }
@@ -152,6 +172,11 @@
   }
 }
 
+void kind_watch::RecordOutdated(time_point sent) {
+  RecordFailure({error_kind::kPlatformUnavailable, "response of an older era"},
+                sent);
+}
+
 void kind_watch::RecordResponse() {
   if (failures_ > 0) {
     LogLine("event=store_regained kind=" + settings_.kind +
--- a/src/node/kind_watch.h
+++ b/src/node/kind_watch.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "fireflyslip/catalog/store_position.h"
 #include "fireflyslip/catalog/watch_freshness.h"
 #include "fireflyslip/core/random_source.h"
 #include "fireflyslip/core/time.h"
@@ -18,8 +19,9 @@
 
 /// \brief Watches all objects of one kind in the platform's store.
 ///
-/// While it follows the kind, it lists it unless a revision is known, then
-/// watches for changes; it lists again if the store has compacted the revision.
+/// While it follows the kind, it lists it unless a position is known, then
+/// watches for changes; it lists again if the store has compacted the revision
+/// or was restored from an older copy.
 /// The first watch after a failure, or after the kind was not followed, does
 /// not wait, so that the known state is confirmed at once. Every response is
 /// reported, so that the age of the known state can be determined.
@@ -47,8 +49,8 @@
     std::function<void(const platform::store_listing&)> on_list;
     std::function<void(const platform::store_change&)> on_change;
     /// The known state of the kind, which includes all changes up to
-    /// `revision`, was confirmed as of a point in time.
-    std::function<void(const watch_freshness&, std::uint64_t revision)>
+    /// `position`, was confirmed as of a point in time.
+    std::function<void(const watch_freshness&, const store_position&)>
         on_confirmed;
   };
 
@@ -66,8 +68,9 @@
   void SetFollowing(bool following);
   /// \brief Lists the kind once; returns whether the store responded.
   boost::asio::awaitable<bool> Refresh();
-  /// \brief Continues from a revision whose changes are known from elsewhere.
-  void AdvanceRevision(std::uint64_t revision);
+  /// \brief Continues from a position up to which the changes are known from
+  /// elsewhere.
+  void Advance(const store_position& position);
 
  private:
   boost::asio::awaitable<void> Watch();
@@ -76,6 +79,9 @@
   boost::asio::awaitable<void> Sleep(duration length);
   void RecordFailure(const error& problem, time_point sent);
   void RecordResponse();
+  /// \brief Records the failure of a request that received a response of an
+  /// older era.
+  void RecordOutdated(time_point sent);
 
   boost::asio::io_context& context_;
   platform::store_client store_;
@@ -86,8 +92,8 @@
   boost::asio::steady_timer following_changed_;
   bool following_ = false;
   bool confirmed_ = false;  // since the last failure, or since it is followed
-  std::uint64_t revision_ = 0;  // 0 if the kind must be listed
-  int failures_ = 0;            // consecutive
+  watch_position position_;
+  int failures_ = 0;          // consecutive
   time_point failing_since_;  // time at which the first failed request was sent
 };
 
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -143,8 +143,8 @@
     }
   };
   callbacks.on_confirmed = [this](const watch_freshness&,
-                                  std::uint64_t revision) {
-    versions_revision_ = std::max(versions_revision_, revision);
+                                  const store_position& position) {
+    versions_revision_ = std::max(versions_revision_, position.revision);
   };
   return callbacks;
 }
@@ -167,7 +167,7 @@
     relay_client_.SetRelays(answer.relays);
   };
   callbacks.on_watch_store = [this](bool watch) {
-    version_watch_.AdvanceRevision(versions_revision_);
+    version_watch_.Advance({0, versions_revision_});
     version_watch_.SetFollowing(watch);
     if (watch) {
       peer_refresh_.RecordRelayLost(MonotonicNow());
--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <deque>
+#include <memory>
 #include <string>
 
 #include "fireflyslip/http.h"
@@ -64,7 +66,103 @@
   context_.run();
   ASSERT_TRUE(listed.has_value());
   ASSERT_TRUE(IsOk(*listed)) << ErrorOf(*listed).detail;
-  EXPECT_EQ(ValueOf(*listed).revision, 7U);
+  EXPECT_EQ(ValueOf(*listed).position, (store_position{0, 7}));
+}
+
+/// \brief Store that sends one response to each request, in order.
+class store_client_era_test : public testing::Test {
+ protected:
+  store_client_era_test()
+      : server_(context_, {}, [this](http_request, response_writer& writer) {
+          return Serve(writer);
+        }) {
+    const auto port = server_.Listen({"127.0.0.1", 0});
+    client_ = std::make_unique<store_client>(
+        context_, http_endpoint{"127.0.0.1", ValueOf(port)});
+  }
+
+  awaitable<void> Serve(response_writer& writer) {
+    http_response response = responses_.front();
+    responses_.pop_front();
+    co_await writer.Send(std::move(response));
+  }
+
+  void Respond(int status, const std::string& era, const std::string& body) {
+    http_response response;
+    response.status = status;
+    if (!era.empty()) {
+      response.fields.push_back({"Store-Era", era});
+    }
+    response.body = body;
+    responses_.push_back(std::move(response));
+  }
+
+  result<store_changes> Watch() {
+    std::optional<result<store_changes>> changes;
+    const std::string kind = "config";
+    boost::asio::co_spawn(
+        context_,
+        [&]() -> awaitable<void> {
+          changes =
+              co_await client_->Watch(kind, 3, milliseconds(0), seconds(5));
+          context_.stop();
+        },
+        boost::asio::detached);
+    context_.restart();
+    context_.run();
+    return *changes;
+  }
+
+  result<store_listing> List() {
+    std::optional<result<store_listing>> listed;
+    const std::string kind = "config";
+    boost::asio::co_spawn(
+        context_,
+        [&]() -> awaitable<void> {
+          listed = co_await client_->List(kind, false, seconds(5));
+          context_.stop();
+        },
+        boost::asio::detached);
+    context_.restart();
+    context_.run();
+    return *listed;
+  }
+
+  boost::asio::io_context context_;
+  std::deque<http_response> responses_;
+  http_server server_;
+  std::unique_ptr<store_client> client_;
+};
+
+// Guards against positions without their era, and against an end of the process
+// by a header that is no number.
+TEST_F(store_client_era_test, Watch_ResponseStatesEra_InPosition) {
+  const std::string body = R"({"events":[],"at":4})";
+  Respond(200, "2", body);
+  EXPECT_EQ(ValueOf(Watch()).position, (store_position{2, 4}));
+  Respond(200, "", body);
+  EXPECT_EQ(ValueOf(Watch()).position, (store_position{0, 4}));
+  Respond(200, "x1", body);
+  EXPECT_EQ(ValueOf(Watch()).position, (store_position{0, 4}));
+  EXPECT_EQ(client_->newest_era(), 2U);
+}
+
+// Guards against an era that is noticed only when the store works again.
+TEST_F(store_client_era_test, Watch_Fails_EraKnown) {
+  Respond(503, "2", "");
+  EXPECT_FALSE(IsOk(Watch()));
+  EXPECT_EQ(client_->newest_era(), 2U);
+  Respond(410, "3", "");
+  EXPECT_EQ(ErrorOf(Watch()).kind, error_kind::kNotFound);
+  EXPECT_EQ(client_->newest_era(), 3U);
+}
+
+// Guards against a list whose pages come from before and after a restore.
+TEST_F(store_client_era_test, List_EraChangesBetweenPages_Fails) {
+  const std::string entry = R"({"metadata":{"name":"a"},"spec":{}})";
+  Respond(200, "1", R"({"entries":[)" + entry + R"(],"hasMore":true,"at":9})");
+  Respond(200, "2", R"({"entries":[],"hasMore":false,"at":5})");
+  EXPECT_FALSE(IsOk(List()));
 }
 
 }  // namespace
--- a/tests/node/fake_store.h
+++ b/tests/node/fake_store.h
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 #include "fireflyslip/http.h"
@@ -45,6 +46,25 @@
   }
   void set_mode(mode value) { mode_ = value; }
 
+  /// \brief Copies the objects and the revision for `Restore()`.
+  void Snapshot() {
+    copy_ = objects_;
+    copy_revision_ = revision_;
+  }
+  /// \brief Goes back to the copy; later revisions are given out again.
+  void Restore() {
+    objects_ = copy_;
+    revision_ = copy_revision_;
+    ++era_;
+    restored_ = true;
+  }
+  /// \brief Sets the era that responses state; empty for none.
+  void set_era(std::optional<std::uint64_t> era) {
+    states_era_ = era.has_value();
+    era_ = era.value_or(0);
+  }
+  std::uint64_t revision() const { return revision_; }
+
   void Put(const std::string& kind,
            const std::string& name,
            nlohmann::json spec) {
@@ -58,6 +78,15 @@
   void PutUpstream(const std::string& name,
                    const std::string& address,
                    const std::string& state = "ready") {
+    PutUpstream(name, address, state, 1, 0);
+  }
+  /// \brief Adds a replica with its count of heartbeats and the Unix
+  /// millisecond of its start.
+  void PutUpstream(const std::string& name,
+                   const std::string& address,
+                   const std::string& state,
+                   std::uint64_t sequence,
+                   std::uint64_t started_ms) {
     Put(platform::kUpstreamKind, name,
         {{"service", "singer"},
          {"address", address},
@@ -65,7 +94,8 @@
          {"version", "1"},
          {"slots", 8},
          {"state", state},
-         {"sequence", 1},
+         {"sequence", sequence},
+         {"born", started_ms},
          {"modelList", nlohmann::json::array()}});
   }
   void PutConfiguration(std::uint64_t version) {
@@ -96,6 +126,7 @@
     }
     if (mode_ == mode::kRefuses) {
       response.status = 503;
+      StateEra(response);
       co_await writer.Send(std::move(response));
       co_return;
     }
@@ -117,7 +148,8 @@
           std::stoi(std::string(request.QueryParameter("waitMs")));
       nlohmann::json events = Events(kind, revision);
       constexpr int kStepMs = 5;
-      for (int waited = 0; events.empty() && waited < wait_ms;
+      for (int waited = 0;
+           events.empty() && waited < wait_ms && HasRevision(revision);
            waited += kStepMs) {
         boost::asio::steady_timer timer(context_, milliseconds(kStepMs));
         co_await timer.async_wait(boost::asio::use_awaitable);
@@ -125,10 +157,25 @@
       }
       response.body =
           nlohmann::json{{"events", events}, {"at", revision_}}.dump();
+      if (!HasRevision(revision)) {
+        response.status = 410;
+      }
     }
+    StateEra(response);
     co_await writer.Send(std::move(response));
   }
 
+  /// Without a restore, a revision that is given out later is waited for.
+  bool HasRevision(std::uint64_t revision) const {
+    return !restored_ || revision <= revision_;
+  }
+
+  void StateEra(http_response& response) const {
+    if (states_era_) {
+      response.fields.push_back({platform::kStoreEra, std::to_string(era_)});
+    }
+  }
+
   nlohmann::json List(const std::string& kind) const {
     nlohmann::json entries = nlohmann::json::array();
     const auto found = objects_.find(kind);
@@ -166,6 +213,11 @@
   http_endpoint endpoint_;
   std::map<std::string, std::map<std::string, object>> objects_;
   std::uint64_t revision_ = 1;
+  std::map<std::string, std::map<std::string, object>> copy_;
+  std::uint64_t copy_revision_ = 1;
+  std::uint64_t era_ = 1;
+  bool states_era_ = true;
+  bool restored_ = false;
   std::size_t calls_ = 0;
   std::map<std::string, std::size_t> lists_;  // by kind
   mode mode_ = mode::kUp;
--- a/tests/node/kind_watch_test.cc
+++ b/tests/node/kind_watch_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <functional>
@@ -39,8 +40,8 @@
       seen_.push_back(change.object.name);
     };
     callbacks.on_confirmed = [this](const watch_freshness&,
-                                    std::uint64_t revision) {
-      revision_ = revision;
+                                    const store_position& position) {
+      revision_ = position.revision;
     };
     return callbacks;
   }
@@ -54,6 +55,10 @@
     return condition();
   }
 
+  bool Saw(const std::string& name) const {
+    return std::find(seen_.begin(), seen_.end(), name) != seen_.end();
+  }
+
   boost::asio::io_context context_;
   fake_store store_;
   std::vector<std::string> seen_;
@@ -77,7 +82,7 @@
 
 // Guards against a list where a watch from the known revision does.
 TEST_F(kind_watch_test, Following_RevisionKnown_OnlyLaterChanges) {
-  watch_.AdvanceRevision(2);
+  watch_.Advance({1, 2});
   watch_.SetFollowing(true);
   store_.PutUpstream("i-2", "127.0.0.1:81");
   ASSERT_TRUE(RunUntil([&] { return !seen_.empty(); }));
@@ -89,13 +94,89 @@
 TEST_F(kind_watch_test, Watch_ReturnsOlderThanKnown_Ignored) {
   watch_.SetFollowing(true);
   ASSERT_TRUE(RunUntil([&] { return seen_.size() == 1; }));
-  watch_.AdvanceRevision(100);
+  watch_.Advance({1, 100});
   store_.PutUpstream("i-2", "127.0.0.1:81");
   context_.run_for(std::chrono::milliseconds(700));
   EXPECT_EQ(seen_, std::vector<std::string>{"i-1"});
   EXPECT_LT(revision_, 100U);
 }
 
+// Guards against a watch that goes on from a revision which the store has given
+// out again after a restore: it returns only later changes, and those below it
+// are never seen.
+TEST_F(kind_watch_test, StoreRestored_RevisionGivenOutAgain_AllSeen) {
+  watch_.SetFollowing(true);
+  store_.Snapshot();
+  for (int i = 0; i < 5; ++i) {
+    store_.PutUpstream("lost", "127.0.0.1:81");
+  }
+  ASSERT_TRUE(RunUntil([&] { return revision_ == store_.revision(); }));
+  seen_.clear();
+  store_.Restore();
+  for (int i = 0; i < 6; ++i) {
+    store_.PutUpstream("again-" + std::to_string(i), "127.0.0.1:82");
+  }
+  ASSERT_TRUE(RunUntil([&] { return Saw("again-5"); }));
+  EXPECT_TRUE(RunUntil([&] { return Saw("i-1") && Saw("again-0"); }));
+  EXPECT_FALSE(Saw("lost"));
+}
+
+// Guards against a restored list that is taken for an old one, because its
+// revision is lower than one known from a relay.
+TEST_F(kind_watch_test, StoreRestored_Refresh_ListReported) {
+  store_.Snapshot();
+  store_.PutUpstream("lost", "127.0.0.1:81");
+  watch_.SetFollowing(true);
+  ASSERT_TRUE(RunUntil([&] { return Saw("lost"); }));
+  watch_.SetFollowing(false);
+  store_.Restore();
+  seen_.clear();
+  boost::asio::co_spawn(context_, watch_.Refresh(), boost::asio::detached);
+  EXPECT_TRUE(RunUntil([&] { return Saw("i-1"); }));
+  EXPECT_FALSE(Saw("lost"));
+}
+
+// Guards against the next change after a restore being noticed only when the
+// revisions have passed the one known before.
+TEST_F(kind_watch_test, StoreRestored_ChangeBelowKnownRevision_SeenAtOnce) {
+  watch_.SetFollowing(true);
+  store_.Snapshot();
+  for (int i = 0; i < 50; ++i) {
+    store_.PutUpstream("lost", "127.0.0.1:81");
+  }
+  ASSERT_TRUE(RunUntil([&] { return revision_ == store_.revision(); }));
+  const std::uint64_t known = revision_;
+  store_.Restore();
+  ASSERT_TRUE(RunUntil([&] { return revision_ < known; }));
+  store_.PutUpstream("next", "127.0.0.1:82");
+  ASSERT_LT(store_.revision(), known);
+  EXPECT_TRUE(RunUntil([&] { return Saw("next"); }));
+}
+
+// Guards against an endless loop of lists at a store that states no era.
+TEST_F(kind_watch_test, StoreStatesNoEra_Changes_SeenWithoutList) {
+  store_.set_era(std::nullopt);
+  watch_.SetFollowing(true);
+  ASSERT_TRUE(RunUntil([&] { return Saw("i-1"); }));
+  store_.PutUpstream("i-2", "127.0.0.1:81");
+  ASSERT_TRUE(RunUntil([&] { return Saw("i-2"); }));
+  EXPECT_EQ(store_.lists(platform::kUpstreamKind), 1U);
+}
+
+// Guards against changes of an older copy that a delayed response contains, and
+// against calls without delay while such responses arrive.
+TEST_F(kind_watch_test, StoreStatesOlderEra_Changes_NotReported) {
+  store_.set_era(5);
+  watch_.SetFollowing(true);
+  ASSERT_TRUE(RunUntil([&] { return Saw("i-1"); }));
+  store_.set_era(4);
+  store_.PutUpstream("i-2", "127.0.0.1:81");
+  const std::size_t calls = store_.calls();
+  context_.run_for(std::chrono::milliseconds(700));
+  EXPECT_FALSE(Saw("i-2"));
+  EXPECT_LT(store_.calls(), calls + 30);
+}
+
 /// \brief A watch that is longer than the test waits.
 class kind_watch_confirmation_test : public testing::Test {
  protected:
@@ -107,7 +188,7 @@
                Handlers(),
                1) {
     store_.PutUpstream("i-1", "127.0.0.1:80");
-    watch_.AdvanceRevision(2);
+    watch_.Advance({1, 2});
     boost::asio::co_spawn(context_, watch_.Run(), boost::asio::detached);
   }
 
@@ -117,7 +198,8 @@
     callbacks.on_failure = [this] { ++failures_; };
     callbacks.on_list = [](const platform::store_listing&) {};
     callbacks.on_change = [](const platform::store_change&) {};
-    callbacks.on_confirmed = [this](const watch_freshness&, std::uint64_t) {
+    callbacks.on_confirmed = [this](const watch_freshness&,
+                                    const store_position&) {
       ++confirmations_;
     };
     return callbacks;
