Compare eras in relay messages, relays, gateways and agents

After a restore of the platform's store, gateways did not learn of upstreams that were added or that drained, until the revisions had passed the highest one known before: the history of a relay and the feed of a gateway ignored what had a lower revision, and a relay held polls that stated a higher one.

Queries, answers, the history of upstreams, feed and agent now hold positions of era and revision. Crossing an era makes the list complete for all older positions, and counts as a change of configuration and versions, whose newest content a relay keeps. A relay whose era is older than that of the process is not fresh for it. In messages the era is a further parameter or element that older processes ignore; if it is missing it is 0. A relay completes queries of older processes with its own era, because it would otherwise answer them at once again and again.

Failed before: catalog_feed_restore_test.Upstream_AddedBelowKnownRevision_Known and Upstream_DrainsBelowKnownRevision_Known. The tests of configuration and target versions there passed before; they guard what must not change. The new tests of relays, messages and history need the new types and were not run on the old code.

The follower of catalog_relay_test keeps the newest position of the upstreams, as a feed does.

--- a/include/fireflyslip/catalog/upstream_history.h
+++ b/include/fireflyslip/catalog/upstream_history.h
@@ -2,11 +2,11 @@
 #define FIREFLYSLIP_CATALOG_UPSTREAM_HISTORY_H_
 
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
 
+#include "fireflyslip/catalog/store_position.h"
 #include "fireflyslip/catalog/upstream_entry.h"
 
 namespace fireflyslip {
@@ -19,66 +19,68 @@
   bool operator==(const upstream_change&) const = default;
 };
 
-/// \brief Changes after a revision, or the complete list.
+/// \brief Changes after a position, or the complete list.
 struct upstream_changes {
-  std::uint64_t revision = 0;  ///< The changes are complete up to here.
-  bool complete = false;       ///< `changes` holds all entries.
+  store_position position;  ///< The changes are complete up to here.
+  bool complete = false;    ///< `changes` holds all entries.
   std::vector<upstream_change> changes;
 
   bool operator==(const upstream_changes&) const = default;
 };
 
-/// \brief Upstream entries with the store revision of their last change.
+/// \brief Upstream entries with the store position of their last change.
 ///
-/// Answers what has changed since a revision. Revisions are those of the
+/// Answers what has changed since a position. Positions are those of the
 /// platform's store, so a process can continue at another relay, or at the
-/// store, from the revision that it knows.
+/// store, from the position that it knows. For a position of an older era the
+/// answer is the complete list.
 class upstream_history {
  public:
   /// \param max_removed number of removed entries that are remembered.
   explicit upstream_history(std::size_t max_removed = 1024)
       : max_removed_(max_removed) {}
 
-  /// \brief Replaces all entries by a list that was read at `revision`.
+  /// \brief Replaces all entries by a list that was read at `position`.
   void Replace(const std::vector<upstream_entry>& entries,
-               std::uint64_t revision);
-  /// \brief Applies changes that are complete up to `revision`. Entries that
-  /// are equal to the known ones are no changes.
+               const store_position& position);
+  /// \brief Applies changes that are complete up to `position`, which must be
+  /// of the same era as the last list. Entries that are equal to the known ones
+  /// are no changes.
   void Apply(const std::vector<upstream_change>& changes,
-             std::uint64_t revision);
+             const store_position& position);
 
-  /// \brief Revision up to which the changes are known; 0 before the first
-  /// list.
-  std::uint64_t revision() const { return revision_; }
+  /// \brief Position up to which the changes are known; revision 0 before the
+  /// first list.
+  const store_position& position() const { return position_; }
 
   /// \brief The entries that have not been removed.
   std::map<upstream_id, upstream_entry> Present() const;
 
-  /// \brief Whether `Since(revision)` contains any change.
-  bool HasChangesAfter(std::uint64_t revision) const {
-    return revision_ > 0 &&
-           (revision < complete_since_ || (last_change_ > revision));
+  /// \brief Whether `Since(position)` contains any change.
+  bool HasChangesAfter(const store_position& position) const {
+    return position_.revision > 0 &&
+           (position < complete_since_ || last_change_ > position);
   }
-  /// \brief The changes after a revision; the complete list if they are not
+  /// \brief The changes after a position; the complete list if they are not
   /// known.
-  upstream_changes Since(std::uint64_t revision) const;
+  upstream_changes Since(const store_position& position) const;
 
  private:
   struct record {
     std::optional<upstream_entry> entry;
-    std::uint64_t revision = 0;
+    store_position position;  // of its last change
   };
 
   void Set(const upstream_id& id,
            const std::optional<upstream_entry>& entry,
-           std::uint64_t revision);
+           const store_position& position);
   void ForgetOldRemovals();
 
   std::size_t max_removed_;
   std::map<upstream_id, record> records_;
-  std::uint64_t revision_ = 0;
-  std::uint64_t last_change_ = 0;
-  std::uint64_t complete_since_ = 0;  // all later changes are in `records_`
+  store_position position_;
+  store_position last_change_;
+  store_position complete_since_;  // all later changes are in `records_`
 };
 
 }  // namespace fireflyslip
--- a/src/catalog/upstream_history.cc
+++ b/src/catalog/upstream_history.cc
@@ -1,42 +1,44 @@
 #include "fireflyslip/catalog/upstream_history.h"
 
 #include <algorithm>
+#include <cassert>
 #include <set>
 
 namespace fireflyslip {
 
 void upstream_history::Replace(const std::vector<upstream_entry>& entries,
-                               std::uint64_t revision) {
-  if (revision < revision_) {
+                               const store_position& position) {
+  if (position < position_) {
     return;
   }
   std::set<upstream_id> present;
   for (const upstream_entry& entry : entries) {
     present.insert(entry.id);
-    Set(entry.id, entry, revision);
+    Set(entry.id, entry, position);
   }
   for (auto& [id, known] : records_) {
     if (!present.contains(id) && known.entry) {
-      known = {std::nullopt, revision};
-      last_change_ = revision;
+      known = {std::nullopt, position};
+      last_change_ = position;
     }
   }
-  if (revision_ == 0) {
-    complete_since_ = revision;
+  if (position_.revision == 0 || position.era > position_.era) {
+    complete_since_ = position;
   }
-  revision_ = revision;
+  position_ = position;
   ForgetOldRemovals();
 }
 
 void upstream_history::Apply(const std::vector<upstream_change>& changes,
-                             std::uint64_t revision) {
-  if (revision < revision_) {
+                             const store_position& position) {
+  assert(changes.empty() || position.era == position_.era);
+  if (position < position_) {
     return;
   }
   for (const upstream_change& change : changes) {
-    Set(change.id, change.entry, revision);
+    Set(change.id, change.entry, position);
   }
-  revision_ = revision;
+  position_ = position;
   ForgetOldRemovals();
 }
 
@@ -50,12 +52,12 @@
   return present;
 }
 
-upstream_changes upstream_history::Since(std::uint64_t revision) const {
+upstream_changes upstream_history::Since(const store_position& position) const {
   upstream_changes answer;
-  answer.revision = revision_;
-  answer.complete = revision < complete_since_;
+  answer.position = position_;
+  answer.complete = position < complete_since_;
   for (const auto& [id, known] : records_) {
-    if (answer.complete ? known.entry.has_value() : known.revision > revision) {
+    if (answer.complete ? known.entry.has_value() : known.position > position) {
       answer.changes.push_back({id, known.entry});
     }
   }
@@ -64,22 +66,22 @@
 
 void upstream_history::Set(const upstream_id& id,
                            const std::optional<upstream_entry>& entry,
-                           std::uint64_t revision) {
+                           const store_position& position) {
   const auto found = records_.find(id);
   const bool unchanged = found == records_.end() ? !entry.has_value()
                                                  : found->second.entry == entry;
   if (unchanged) {
     return;
   }
-  records_[id] = {entry, revision};
-  last_change_ = revision;
+  records_[id] = {entry, position};
+  last_change_ = position;
 }
 
 void upstream_history::ForgetOldRemovals() {
-  std::vector<std::pair<std::uint64_t, upstream_id>> removed;
+  std::vector<std::pair<store_position, upstream_id>> removed;
   for (const auto& [id, known] : records_) {
     if (!known.entry) {
-      removed.emplace_back(known.revision, id);
+      removed.emplace_back(known.position, id);
     }
   }
   if (removed.size() <= max_removed_) {
@@ -87,8 +89,8 @@
   }
   std::sort(removed.begin(), removed.end());
   removed.resize(removed.size() - max_removed_);
-  for (const auto& [revision, id] : removed) {
-    complete_since_ = std::max(complete_since_, revision);
+  for (const auto& [position, id] : removed) {
+    complete_since_ = std::max(complete_since_, position);
     records_.erase(id);
   }
 }
--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -87,7 +87,9 @@
       version_age_(MonotonicNow(), settings.InitialVersionAge()) {
   timers_.SubscribePeriodic(change_age::kMaxObservationGap / 2,
                             [this] { version_age_.Observe(MonotonicNow()); });
-  known_revisions_ = {0, 0, 0, {}};
+  known_positions_.configuration.emplace();
+  known_positions_.upstreams.emplace();
+  known_positions_.versions.emplace();
 }
 
 void catalog_feed::Start() {
@@ -161,9 +163,9 @@
 void catalog_feed::SetFollowingStore(bool following) {
   if (following) {
     version_age_.RecordInterruption(MonotonicNow());
-    configuration_watch_.Advance({0, *known_revisions_.configuration});
-    upstream_watch_.Advance({0, *known_revisions_.upstreams});
-    version_watch_.Advance({0, *known_revisions_.versions});
+    configuration_watch_.Advance(*known_positions_.configuration);
+    upstream_watch_.Advance(*known_positions_.upstreams);
+    version_watch_.Advance(*known_positions_.versions);
   }
   configuration_watch_.SetFollowing(following);
   upstream_watch_.SetFollowing(following);
@@ -172,7 +174,7 @@
 
 relay_client::handlers catalog_feed::RelayHandlers() {
   relay_client::handlers callbacks;
-  callbacks.query = [this] { return known_revisions_; };
+  callbacks.query = [this] { return known_positions_; };
   callbacks.on_answer = [this](const relay_answer& answer,
                                time_point query_sent) {
     OnRelayAnswer(answer, query_sent);
@@ -188,8 +190,16 @@
   }
   handlers_.on_platform_responded();
   // A relay may know less than this process, which has followed another one.
-  if (answer.upstreams->revision >= *known_revisions_.upstreams) {
-    known_revisions_.upstreams = answer.upstreams->revision;
+  if (answer.upstreams->position >= *known_positions_.upstreams) {
+    const store_position at = answer.upstreams->position;
+    if (known_positions_.upstreams->revision > 0 &&
+        at.era > known_positions_.upstreams->era) {
+      LogLine(
+          "event=store_restored kind=" + std::string(platform::kUpstreamKind) +
+          " era=" + std::to_string(at.era) +
+          " revision=" + std::to_string(at.revision));
+    }
+    known_positions_.upstreams = at;
     const relayed_outage outage = answer.outage.value_or(relayed_outage{});
     upstreams_listed_ = true;
     HandleUpstreams(
@@ -209,9 +219,9 @@
     }
   }
   // A watch of the store that is still in progress may return older changes.
-  upstream_watch_.Advance({0, *known_revisions_.upstreams});
-  known_revisions_.versions =
-      std::max(*known_revisions_.versions, answer.versions->revision);
+  upstream_watch_.Advance(*known_positions_.upstreams);
+  known_positions_.versions =
+      std::max(*known_positions_.versions, answer.versions->position);
   // The answer may have been delayed by as much as the poll took.
   const time_point sent_by_relay = query_sent + answer.held;
   for (const auto& [model, published] : answer.versions->versions) {
@@ -223,8 +233,8 @@
   }
   version_age_.ConfirmCurrent(sent_by_relay - answer.versions->age);
 
-  known_revisions_.configuration =
-      std::max(*known_revisions_.configuration, answer.configuration->revision);
+  known_positions_.configuration =
+      std::max(*known_positions_.configuration, answer.configuration->position);
   announced_configuration_ =
       std::max(announced_configuration_, answer.configuration->version);
   pending_confirmations_.Announce(
@@ -266,8 +276,8 @@
   };
   callbacks.on_confirmed = [this](const watch_freshness& freshness,
                                   const store_position& position) {
-    known_revisions_.configuration =
-        std::max(*known_revisions_.configuration, position.revision);
+    known_positions_.configuration =
+        std::max(*known_positions_.configuration, position);
     // The store confirms the newest version, whose content may not have been
     // read if a relay announced it.
     const std::uint64_t version = deployment_ ? deployment_->version : 0;
@@ -314,8 +324,8 @@
   };
   callbacks.on_confirmed = [this](const watch_freshness&,
                                   const store_position& position) {
-    known_revisions_.upstreams =
-        std::max(*known_revisions_.upstreams, position.revision);
+    known_positions_.upstreams =
+        std::max(*known_positions_.upstreams, position);
   };
   return callbacks;
 }
@@ -357,8 +367,7 @@
   callbacks.on_confirmed = [this](const watch_freshness& freshness,
                                   const store_position& position) {
     version_age_.ConfirmCurrent(*freshness.current_as_of());
-    known_revisions_.versions =
-        std::max(*known_revisions_.versions, position.revision);
+    known_positions_.versions = std::max(*known_positions_.versions, position);
   };
   return callbacks;
 }
--- a/src/gateway/catalog_feed.h
+++ b/src/gateway/catalog_feed.h
@@ -90,7 +90,7 @@
   relay_client relay_;
   std::shared_ptr<const deployment> deployment_;
   std::shared_ptr<const upstream_map> upstreams_;
-  relay_query known_revisions_;
+  relay_query known_positions_;
   std::uint64_t announced_configuration_ = 0;  // newest version of a relay
   pending_confirmations pending_confirmations_;
   bool reading_configuration_ = false;
--- a/src/node/catalog_relay.cc
+++ b/src/node/catalog_relay.cc
@@ -112,8 +112,10 @@
                                   const store_position& position) {
     configuration_freshness_ = freshness;
     configuration_confirmed_ = MonotonicNow();
-    if (configuration_revision_ == 0 && configuration_version_ > 0) {
-      configuration_revision_ = position.revision;
+    const bool changed = configuration_position_.revision == 0 ||
+                         position.era > configuration_position_.era;
+    if (changed && configuration_version_ > 0) {
+      configuration_position_ = position;
     }
     WakeWaiters();
   };
@@ -126,7 +128,7 @@
       *version > configuration_version_) {
     configuration_version_ = *version;
     configuration_content_ = Compress(object.content.dump());
-    configuration_revision_ = 0;  // set when the response is complete
+    configuration_position_.revision = 0;  // set when the response is complete
   }
 }
 
@@ -158,10 +160,10 @@
   callbacks.on_confirmed = [this](const watch_freshness&,
                                   const store_position& position) {
     if (pending_list_) {
-      upstreams_.Replace(*pending_list_, position.revision);
+      upstreams_.Replace(*pending_list_, position);
       pending_list_.reset();
     }
-    upstreams_.Apply(pending_changes_, position.revision);
+    upstreams_.Apply(pending_changes_, position);
     pending_changes_.clear();
     relays_ = SelectRelays(upstreams_.Present(), data_centre_);
     upstreams_confirmed_ = MonotonicNow();
@@ -190,8 +192,9 @@
                                   const store_position& position) {
     version_age_.ConfirmCurrent(*freshness.current_as_of());
     versions_confirmed_ = MonotonicNow();
-    if (versions_revision_ == 0) {
-      versions_revision_ = position.revision;
+    if (versions_position_.revision == 0 ||
+        position.era > versions_position_.era) {
+      versions_position_ = position;
     }
     WakeWaiters();
   };
@@ -203,7 +206,7 @@
   if (target && target->version > versions_[target->model].version) {
     const time_point published_at = version_age_.EarliestChange(MonotonicNow());
     versions_[target->model] = {target->version, published_at};
-    versions_revision_ = 0;  // set when the response is complete
+    versions_position_.revision = 0;  // set when the response is complete
   }
 }
 
@@ -214,7 +217,7 @@
     co_return;
   }
   const time_point received = MonotonicNow();
-  const std::optional<relay_query> query = ParseRelayTarget(request.target);
+  std::optional<relay_query> query = ParseRelayTarget(request.target);
   http_response response;
   if (!query) {
     response.status = kStatusNotFound;
@@ -222,6 +225,9 @@
     co_return;
   }
   Activate();
+  if (!query->states_eras) {
+    AdoptEras(*query);
+  }
   co_await WaitForChanges(*query, received + query->hold);
   response.body = EncodeRelayAnswer(Answer(*query, received));
   co_await writer.Send(std::move(response));
@@ -239,10 +245,10 @@
 
 awaitable<void> catalog_relay::WaitForChanges(const relay_query& query,
                                               time_point deadline) {
-  const bool was_fresh = FreshUntil(MonotonicNow()).has_value();
+  const bool was_fresh = FreshUntil(query, MonotonicNow()).has_value();
   for (;;) {
     const time_point now = MonotonicNow();
-    const std::optional<time_point> fresh_until = FreshUntil(now);
+    const std::optional<time_point> fresh_until = FreshUntil(query, now);
     // A poll that arrives while the view is stale is held until it is current;
     // one that is held is answered when the view becomes stale.
     if (now >= deadline || (fresh_until && HasChangesAfter(query)) ||
@@ -289,15 +295,15 @@
 
 bool catalog_relay::HasChangesAfter(const relay_query& query) const {
   return (query.configuration &&
-          configuration_revision_ > *query.configuration) ||
+          configuration_position_ > *query.configuration) ||
          (query.upstreams && upstreams_.HasChangesAfter(*query.upstreams)) ||
-         (query.versions && versions_revision_ > *query.versions);
+         (query.versions && versions_position_ > *query.versions);
 }
 
 std::optional<time_point> catalog_relay::FreshUntil(time_point now) const {
   if (!configuration_confirmed_ || !upstreams_confirmed_ ||
-      !versions_confirmed_ || configuration_revision_ == 0 ||
-      versions_revision_ == 0) {
+      !versions_confirmed_ || configuration_position_.revision == 0 ||
+      versions_position_.revision == 0) {
     return std::nullopt;
   }
   const time_point until =
@@ -312,12 +318,38 @@
   return until;
 }
 
+std::optional<time_point> catalog_relay::FreshUntil(const relay_query& query,
+                                                    time_point now) const {
+  const auto is_older = [](const store_position& position,
+                           const std::optional<store_position>& known) {
+    return known && position.era < known->era;
+  };
+  if (is_older(configuration_position_, query.configuration) ||
+      is_older(upstreams_.position(), query.upstreams) ||
+      is_older(versions_position_, query.versions)) {
+    return std::nullopt;
+  }
+  return FreshUntil(now);
+}
+
+void catalog_relay::AdoptEras(relay_query& query) const {
+  if (query.configuration) {
+    query.configuration->era = configuration_position_.era;
+  }
+  if (query.upstreams) {
+    query.upstreams->era = upstreams_.position().era;
+  }
+  if (query.versions) {
+    query.versions->era = versions_position_.era;
+  }
+}
+
 relay_answer catalog_relay::Answer(const relay_query& query,
                                    time_point received) const {
   const time_point now = MonotonicNow();
   relay_answer answer;
   answer.held = now - received;
-  answer.fresh = FreshUntil(now).has_value();
+  answer.fresh = FreshUntil(query, now).has_value();
   if (outage_ && now - outage_ended_ < kOutageReportTime) {
     answer.outage = {*outage_, now - outage_ended_};
   }
@@ -325,7 +357,7 @@
     return answer;
   }
   if (query.configuration) {
-    answer.configuration = {configuration_revision_, configuration_version_,
+    answer.configuration = {configuration_position_, configuration_version_,
                             now - *configuration_freshness_.current_as_of()};
   }
   if (query.upstreams) {
@@ -333,7 +365,7 @@
   }
   if (query.versions) {
     answer.versions = {
-        versions_revision_, now - *version_age_.current_as_of(), {}};
+        versions_position_, now - *version_age_.current_as_of(), {}};
     for (const auto& [model, known] : versions_) {
       answer.versions->versions[model] = {known.version,
                                           now - known.published_at};
--- a/src/node/catalog_relay.h
+++ b/src/node/catalog_relay.h
@@ -27,7 +27,9 @@
 /// durations of the watches. The age of the configuration, which key
 /// revocations depend on, counts from the time at which the request was sent.
 /// All times are on a clock that includes suspension of the VM, so a process
-/// that was paused does not present an old view as current.
+/// that was paused does not present an old view as current. Nor is its view
+/// current for a process that knows a newer era of the store. In a new era the
+/// newest configuration and versions that it has had remain in force.
 class catalog_relay {
  public:
   catalog_relay(boost::asio::io_context& context,
@@ -65,6 +67,12 @@
   bool HasChangesAfter(const relay_query& query) const;
   /// \brief Time until which the view is current; empty if it is not.
   std::optional<time_point> FreshUntil(time_point now) const;
+  /// \brief The same for a process that may know a newer era.
+  std::optional<time_point> FreshUntil(const relay_query& query,
+                                       time_point now) const;
+  /// \brief Completes a query without eras, so that only revisions are
+  /// compared: its sender would otherwise be answered at once forever.
+  void AdoptEras(relay_query& query) const;
   relay_answer Answer(const relay_query& query, time_point received) const;
 
   boost::asio::io_context& context_;
@@ -82,8 +90,8 @@
   watch_freshness configuration_freshness_;
   std::optional<time_point> configuration_confirmed_;
   std::uint64_t configuration_version_ = 0;
-  std::uint64_t configuration_revision_ = 0;  // of its last change
-  std::string configuration_content_;         // compressed JSON
+  store_position configuration_position_;  // of its last change
+  std::string configuration_content_;      // compressed JSON
   std::optional<time_point> upstreams_confirmed_;
   std::vector<upstream_change> pending_changes_;  // of a response in progress
   std::optional<std::vector<upstream_entry>> pending_list_;
@@ -96,8 +104,8 @@
   };
   std::map<model_name, known_version> versions_;
   change_age version_age_;
-  std::uint64_t versions_revision_ = 0;  // of their last change
-  std::optional<duration> outage_;       // length of the last one
+  store_position versions_position_;  // of their last change
+  std::optional<duration> outage_;    // length of the last one
   time_point outage_ended_;
 };
 
--- a/src/node/relay_client.cc
+++ b/src/node/relay_client.cc
@@ -82,7 +82,7 @@
   relay_selector::polled polled{order.address, relay_poll_status::kFailed};
   if (IsOk(response) && ValueOf(response).status == kStatusOk) {
     const auto answer = DecodeRelayAnswer(ValueOf(response).body);
-    if (answer && answer->fresh) {
+    if (answer && answer->fresh && !IsOfOlderEra(*answer, query)) {
       polled.status = relay_poll_status::kFresh;
       handlers_.on_answer(*answer, sent);
     } else if (answer) {
@@ -105,8 +105,10 @@
 }
 
 awaitable<result<upstream_changes>> relay_client::ReadUpstreams(
-    std::uint64_t revision) {
-  std::string target = RelayTarget({std::nullopt, revision, std::nullopt, {}});
+    store_position position) {
+  relay_query query;
+  query.upstreams = position;
+  std::string target = RelayTarget(query);
   const auto response = co_await Read(std::move(target));
   if (!IsOk(response)) {
     co_return ErrorOf(response);
@@ -114,7 +116,8 @@
   const auto answer = ValueOf(response).status == kStatusOk
                           ? DecodeRelayAnswer(ValueOf(response).body)
                           : std::nullopt;
-  if (!answer || !answer->fresh || !answer->upstreams) {
+  if (!answer || !answer->fresh || !answer->upstreams ||
+      IsOfOlderEra(*answer, query)) {
     co_return error{error_kind::kNoUpstream, "the relay has no current view"};
   }
   co_return *answer->upstreams;
--- a/src/node/relay_client.h
+++ b/src/node/relay_client.h
@@ -22,7 +22,7 @@
 class relay_client {
  public:
   struct handlers {
-    /// The revisions that the process knows; `hold` is set by the client.
+    /// The positions that the process knows; `hold` is set by the client.
     std::function<relay_query()> query;
     /// A fresh answer. `query_sent` is when the poll was sent; the state in it
     /// was current `held - age` later or more.
@@ -43,10 +43,10 @@
   /// \brief Whether a relay with a current view is in use.
   bool has_relay() const { return !selector_.core().current().empty(); }
 
-  /// \brief Reads the changes of the upstreams after a revision from the relay
+  /// \brief Reads the changes of the upstreams after a position from the relay
   /// in use.
   boost::asio::awaitable<result<upstream_changes>> ReadUpstreams(
-      std::uint64_t revision);
+      store_position position);
   /// \brief Reads the content of the newest configuration from the relay in
   /// use.
   boost::asio::awaitable<result<nlohmann::json>> ReadConfiguration();
--- a/src/node/relay_message.cc
+++ b/src/node/relay_message.cc
@@ -20,15 +20,28 @@
 constexpr std::string_view kUpstreamsParameter = "upstreams";
 constexpr std::string_view kVersionsParameter = "versions";
 constexpr std::string_view kHoldParameter = "hold_us";
+constexpr std::string_view kEraSuffix = "_era";
 
 void AppendParameter(std::string& target,
                      std::string_view name,
-                     const std::optional<std::uint64_t>& value) {
-  if (value) {
-    target += target.find('?') == std::string::npos ? '?' : '&';
-    target += name;
-    target += '=';
-    target += std::to_string(*value);
+                     std::uint64_t value) {
+  target += target.find('?') == std::string::npos ? '?' : '&';
+  target += name;
+  target += '=';
+  target += std::to_string(value);
+}
+
+void AppendPosition(std::string& target,
+                    std::string_view name,
+                    const std::optional<store_position>& position,
+                    bool states_eras) {
+  if (!position) {
+    return;
+  }
+  AppendParameter(target, name, position->revision);
+  if (states_eras) {
+    AppendParameter(target, std::string(name) + std::string(kEraSuffix),
+                    position->era);
   }
 }
 
@@ -47,8 +60,29 @@
   return code == std::errc() && end == text.data() + text.size();
 }
 
+/// Reads the position of a kind, which may be missing; returns whether it is
+/// well-formed.
+bool ReadPosition(const http_request& request,
+                  std::string_view name,
+                  std::optional<store_position>& position,
+                  bool& states_eras) {
+  std::optional<std::uint64_t> revision;
+  std::optional<std::uint64_t> era;
+  const std::string era_name = std::string(name) + std::string(kEraSuffix);
+  if (!ReadParameter(request, name, revision) ||
+      !ReadParameter(request, era_name, era)) {
+    return false;
+  }
+  if (revision) {
+    position = {era.value_or(0), *revision};
+    states_eras &= era.has_value();
+  }
+  return true;
+}
+
 // Answers are arrays without field names, because an answer with all upstreams
-// of a large fleet is sent to each process of a data centre.
+// of a large fleet is sent to each process of a data centre. Elements that were
+// added later are at the end, where older processes ignore them.
 
 json EncodeVersions(const std::map<model_name, std::uint64_t>& versions) {
   json list = json::array();
@@ -108,6 +142,8 @@
     ok_ &= item.is_number_integer();
     return duration(ok_ ? item.get<std::int64_t>() : 0);
   }
+  /// \brief An element that older processes do not send; 0 if it is missing.
+  std::uint64_t OptionalUnsigned() { return AtEnd() ? 0 : Unsigned(); }
   bool Bool() {
     const json& item = Next();
     ok_ &= item.is_boolean();
@@ -160,11 +196,22 @@
 
 }  // namespace
 
+bool IsOfOlderEra(const relay_answer& answer, const relay_query& query) {
+  const auto is_older = [](const auto& answered, const auto& known) {
+    return answered && known && answered->position.era < known->era;
+  };
+  return is_older(answer.configuration, query.configuration) ||
+         is_older(answer.upstreams, query.upstreams) ||
+         is_older(answer.versions, query.versions);
+}
+
 std::string RelayTarget(const relay_query& query) {
   std::string target(kPath);
-  AppendParameter(target, kConfigurationParameter, query.configuration);
-  AppendParameter(target, kUpstreamsParameter, query.upstreams);
-  AppendParameter(target, kVersionsParameter, query.versions);
+  AppendPosition(target, kConfigurationParameter, query.configuration,
+                 query.states_eras);
+  AppendPosition(target, kUpstreamsParameter, query.upstreams,
+                 query.states_eras);
+  AppendPosition(target, kVersionsParameter, query.versions, query.states_eras);
   AppendParameter(target, kHoldParameter,
                   static_cast<std::uint64_t>(query.hold.count()));
   return target;
@@ -176,9 +223,12 @@
   relay_query query;
   std::optional<std::uint64_t> hold;
   if (request.path() != kPath ||
-      !ReadParameter(request, kConfigurationParameter, query.configuration) ||
-      !ReadParameter(request, kUpstreamsParameter, query.upstreams) ||
-      !ReadParameter(request, kVersionsParameter, query.versions) ||
+      !ReadPosition(request, kConfigurationParameter, query.configuration,
+                    query.states_eras) ||
+      !ReadPosition(request, kUpstreamsParameter, query.upstreams,
+                    query.states_eras) ||
+      !ReadPosition(request, kVersionsParameter, query.versions,
+                    query.states_eras) ||
       !ReadParameter(request, kHoldParameter, hold)) {
     return std::nullopt;
   }
@@ -196,9 +246,10 @@
   }
   json configuration;
   if (answer.configuration) {
-    configuration = json::array({answer.configuration->revision,
+    configuration = json::array({answer.configuration->position.revision,
                                  answer.configuration->version,
-                                 Microseconds(answer.configuration->age)});
+                                 Microseconds(answer.configuration->age),
+                                 answer.configuration->position.era});
   }
   json upstreams;
   if (answer.upstreams) {
@@ -206,8 +257,9 @@
     for (const upstream_change& change : answer.upstreams->changes) {
       changes.push_back(EncodeChange(change));
     }
-    upstreams = json::array({answer.upstreams->revision,
-                             answer.upstreams->complete, std::move(changes)});
+    upstreams = json::array({answer.upstreams->position.revision,
+                             answer.upstreams->complete, std::move(changes),
+                             answer.upstreams->position.era});
   }
   json versions;
   if (answer.versions) {
@@ -217,9 +269,9 @@
       list.push_back(published.version);
       list.push_back(Microseconds(published.age));
     }
-    versions =
-        json::array({answer.versions->revision,
-                     Microseconds(answer.versions->age), std::move(list)});
+    versions = json::array({answer.versions->position.revision,
+                            Microseconds(answer.versions->age), std::move(list),
+                            answer.versions->position.era});
   }
   const json message =
       json::array({answer.fresh, Microseconds(answer.held), std::move(outage),
@@ -252,14 +304,18 @@
   }
   if (const json& item = reader.Next(); !item.is_null()) {
     array_reader configuration(item);
-    answer.configuration = {configuration.Unsigned(), configuration.Unsigned(),
-                            configuration.Duration()};
+    relayed_configuration newest;
+    newest.position.revision = configuration.Unsigned();
+    newest.version = configuration.Unsigned();
+    newest.age = configuration.Duration();
+    newest.position.era = configuration.OptionalUnsigned();
+    answer.configuration = newest;
     ok &= configuration.ok();
   }
   if (const json& item = reader.Next(); !item.is_null()) {
     array_reader upstreams(item);
     upstream_changes changes;
-    changes.revision = upstreams.Unsigned();
+    changes.position.revision = upstreams.Unsigned();
     changes.complete = upstreams.Bool();
     array_reader list(upstreams.Next());
     while (!list.AtEnd()) {
@@ -269,13 +325,14 @@
         changes.changes.push_back(*std::move(change));
       }
     }
+    changes.position.era = upstreams.OptionalUnsigned();
     ok &= upstreams.ok() && list.ok();
     answer.upstreams = std::move(changes);
   }
   if (const json& item = reader.Next(); !item.is_null()) {
     array_reader reader_of_versions(item);
     relayed_versions versions;
-    versions.revision = reader_of_versions.Unsigned();
+    versions.position.revision = reader_of_versions.Unsigned();
     versions.age = reader_of_versions.Duration();
     array_reader list(reader_of_versions.Next());
     while (!list.AtEnd()) {
@@ -283,6 +340,7 @@
       published.version = list.Unsigned();
       published.age = list.Duration();
     }
+    versions.position.era = reader_of_versions.OptionalUnsigned();
     ok &= reader_of_versions.ok() && list.ok();
     answer.versions = std::move(versions);
   }
--- a/src/node/relay_message.h
+++ b/src/node/relay_message.h
@@ -8,27 +8,31 @@
 #include <string_view>
 #include <vector>
 
+#include "fireflyslip/catalog/store_position.h"
 #include "fireflyslip/catalog/upstream_history.h"
 #include "fireflyslip/core/ids.h"
 #include "fireflyslip/core/time.h"
 
 namespace fireflyslip {
 
-/// \brief Poll of a catalog relay: the store revisions up to which the sender
-/// knows each kind; empty for kinds that it does not need, 0 if nothing is
-/// known.
+/// \brief Poll of a catalog relay: the store positions up to which the sender
+/// knows each kind; empty for kinds that it does not need, revision 0 if
+/// nothing is known.
 struct relay_query {
-  std::optional<std::uint64_t> configuration;
-  std::optional<std::uint64_t> upstreams;
-  std::optional<std::uint64_t> versions;
+  std::optional<store_position> configuration;
+  std::optional<store_position> upstreams;
+  std::optional<store_position> versions;
   duration hold = {};  ///< Time to wait for changes.
+  /// Whether the query states eras; older senders know only revisions. An era
+  /// that is not stated is 0.
+  bool states_eras = true;
 
   auto operator<=>(const relay_query&) const = default;
 };
 
 /// \brief Newest version of the configuration, without its content.
 struct relayed_configuration {
-  std::uint64_t revision = 0;
+  store_position position;
   std::uint64_t version = 0;
   /// Time since the relay's view was current, when the answer was sent.
   duration age = {};
@@ -47,7 +51,7 @@
 
 /// \brief Published model versions.
 struct relayed_versions {
-  std::uint64_t revision = 0;
+  store_position position;
   /// Time since the relay's view was current, when the answer was sent.
   duration age = {};
   std::map<model_name, relayed_version> versions;
@@ -63,7 +67,8 @@
   auto operator<=>(const relayed_outage&) const = default;
 };
 
-/// \brief Answer to a poll; contains the kinds that the query names.
+/// \brief Answer to a poll; contains the kinds that the query names. The era of
+/// an older relay, which states none, is 0.
 struct relay_answer {
   bool fresh = false;  ///< Whether the view of all kinds is current.
   duration held = {};  ///< Time between query and answer at the relay.
@@ -78,6 +83,9 @@
   bool operator==(const relay_answer&) const = default;
 };
 
+/// \brief Whether the sender of the query knows a newer era than the relay.
+bool IsOfOlderEra(const relay_answer& answer, const relay_query& query);
+
 /// \brief Path and query of the HTTP request of a poll.
 std::string RelayTarget(const relay_query& query);
 /// \brief Parses `RelayTarget()`; empty if it is malformed.
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -144,7 +144,7 @@
   };
   callbacks.on_confirmed = [this](const watch_freshness&,
                                   const store_position& position) {
-    versions_revision_ = std::max(versions_revision_, position.revision);
+    versions_position_ = std::max(versions_position_, position);
   };
   return callbacks;
 }
@@ -152,14 +152,14 @@
 relay_client::handlers stager::RelayHandlers() {
   relay_client::handlers callbacks;
   callbacks.query = [this] {
-    return relay_query{std::nullopt, std::nullopt, versions_revision_, {}};
+    return relay_query{std::nullopt, std::nullopt, versions_position_, {}};
   };
   callbacks.on_answer = [this](const relay_answer& answer, time_point) {
     if (!answer.versions) {
       return;
     }
-    versions_revision_ =
-        std::max(versions_revision_, answer.versions->revision);
+    versions_position_ =
+        std::max(versions_position_, answer.versions->position);
     for (const auto& [model, published] : answer.versions->versions) {
       SetNewestVersion(model, published.version);
     }
@@ -167,7 +167,7 @@
     relay_client_.SetRelays(answer.relays);
   };
   callbacks.on_watch_store = [this](bool watch) {
-    version_watch_.Advance({0, versions_revision_});
+    version_watch_.Advance(versions_position_);
     version_watch_.SetFollowing(watch);
     if (watch) {
       peer_refresh_.RecordRelayLost(MonotonicNow());
@@ -374,7 +374,7 @@
 
 awaitable<void> stager::ReadPeerChanges() {
   const auto changes =
-      co_await relay_client_.ReadUpstreams(upstreams_revision_);
+      co_await relay_client_.ReadUpstreams(upstreams_position_);
   if (!IsOk(changes)) {
     co_return;
   }
@@ -387,7 +387,7 @@
       upstreams_.emplace(change.id, *change.entry);
     }
   }
-  upstreams_revision_ = ValueOf(changes).revision;
+  upstreams_position_ = ValueOf(changes).position;
   SetPeers();
 }
 
@@ -408,8 +408,8 @@
       upstreams_.emplace(entry->id, *entry);
     }
   }
-  // The list may be older than the revision that comes with it.
-  upstreams_revision_ = 0;
+  // The list may be older than the position that comes with it.
+  upstreams_position_ = {};
   SetPeers();
   relay_client_.SetRelays(SelectRelays(upstreams_, settings_.data_centre));
 }
--- a/src/stager/stager.h
+++ b/src/stager/stager.h
@@ -86,10 +86,10 @@
   kind_watch version_watch_;
   catalog_relay relay_;
   relay_client relay_client_;
-  std::uint64_t versions_revision_ = 0;
+  store_position versions_position_;
   peer_refresh peer_refresh_;
   upstream_map upstreams_;
-  std::uint64_t upstreams_revision_ = 0;  // 0 if all must be read
+  store_position upstreams_position_;  // revision 0 if all must be read
   core_driver<weight_stager> core_;
   region_id origin_region_;
   model_name model_;
--- a/tests/gateway/catalog_feed_test.cc
+++ b/tests/gateway/catalog_feed_test.cc
@@ -2,9 +2,14 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
+#include <string>
+#include <vector>
 
+#include "node/catalog_relay.h"
 #include "node/fake_store.h"
 
 namespace fireflyslip {
@@ -47,5 +52,175 @@
   EXPECT_EQ(confirmations_, 0);
 }
 
+/// \brief A gateway's control plane behind a relay, at a store that comes back
+/// from an older copy.
+class catalog_feed_restore_test : public testing::Test {
+ protected:
+  catalog_feed_restore_test() : store_(context_) {
+    settings_.platform = store_.endpoint();
+    settings_.data_centre = data_centre_id("akl");
+    PutConfiguration(1, "key");
+    store_.PutVersion(1);
+    store_.PutUpstream("i-1", "127.0.0.1:80", "ready", 1, 1000);
+    relay_ = std::make_unique<catalog_relay>(context_, settings_, 1);
+    const auto port = relay_->Listen({"127.0.0.1", 0});
+    settings_.first_internal_port =
+        static_cast<std::uint16_t>(ValueOf(port) - 3);
+    EXPECT_EQ(settings_.RelayPort(), ValueOf(port));
+    catalog_feed::handlers callbacks;
+    callbacks.on_deployment = [this](std::shared_ptr<const deployment> known) {
+      deployments_.push_back(std::move(known));
+    };
+    callbacks.on_upstreams = [this](std::shared_ptr<const upstream_map> known) {
+      upstreams_ = std::move(known);
+    };
+    callbacks.on_target_version = [this](const auto&, std::uint64_t version,
+                                         time_point) {
+      target_versions_.push_back(version);
+    };
+    callbacks.on_platform_responded = [] {};
+    callbacks.on_keys_confirmed = [](time_point) {};
+    feed_ = std::make_unique<catalog_feed>(context_, settings_, callbacks, 1);
+  }
+
+  void PutConfiguration(std::uint64_t version, const std::string& key) {
+    store_.Put(
+        platform::kConfigurationKind, platform::kConfigurationName,
+        {{"version", version},
+         {"routes", nlohmann::json::array()},
+         {"services", nlohmann::json::array()},
+         {"tenants",
+          {{{"name", "w"}, {"apiKeys", nlohmann::json::array({key})}}}}});
+  }
+
+  /// Raises the store's revision by changes that nothing else depends on.
+  void RaiseRevision() {
+    for (int i = 0; i < 50; ++i) {
+      store_.PutVersion(1);
+    }
+  }
+
+  /// The store is away for a moment and comes back from the copy.
+  void RestoreStore() {
+    store_.set_mode(fake_store::mode::kRefuses);
+    context_.run_for(std::chrono::milliseconds(100));
+    store_.Restore();
+    store_.set_mode(fake_store::mode::kUp);
+  }
+
+  bool RunUntil(const std::function<bool()>& condition) {
+    constexpr seconds kLimit{10};
+    const time_point end = MonotonicNow() + kLimit;
+    while (!condition() && MonotonicNow() < end) {
+      context_.run_for(std::chrono::milliseconds(5));
+    }
+    return condition();
+  }
+
+  /// Starts the feed and waits until it follows the relay.
+  bool Start() {
+    feed_->Start();
+    return RunUntil([&] {
+      return feed_->IsComplete() && Has("i-1") && !target_versions_.empty();
+    });
+  }
+
+  bool Has(const std::string& id) const {
+    return upstreams_ && upstreams_->contains(upstream_id(id));
+  }
+  std::uint64_t version() const { return deployments_.back()->version; }
+
+  boost::asio::io_context context_;
+  fake_store store_;
+  node_settings settings_;
+  std::unique_ptr<catalog_relay> relay_;
+  std::vector<std::shared_ptr<const deployment>> deployments_;
+  std::shared_ptr<const upstream_map> upstreams_;
+  std::vector<std::uint64_t> target_versions_;
+  std::unique_ptr<catalog_feed> feed_;
+};
+
+// Guards against upstreams that are not noticed after a restore until the
+// revisions have passed the one known before: a relay or a gateway that
+// compares revisions ignores all lists and changes below it.
+TEST_F(catalog_feed_restore_test, Upstream_AddedBelowKnownRevision_Known) {
+  ASSERT_TRUE(Start());
+  store_.Snapshot();
+  RaiseRevision();
+  store_.PutUpstream("i-2", "127.0.0.1:81", "ready", 1, 2000);
+  ASSERT_TRUE(RunUntil([&] { return Has("i-2"); }));
+  RestoreStore();
+  store_.PutUpstream("i-3", "127.0.0.1:82", "ready", 1, 3000);
+  EXPECT_TRUE(RunUntil([&] { return Has("i-3"); }));
+}
+
+// Guards against requests to an upstream that drains after a restore.
+TEST_F(catalog_feed_restore_test, Upstream_DrainsBelowKnownRevision_Known) {
+  ASSERT_TRUE(Start());
+  store_.Snapshot();
+  RaiseRevision();
+  store_.PutUpstream("i-2", "127.0.0.1:81", "ready", 1, 2000);
+  ASSERT_TRUE(RunUntil([&] { return Has("i-2"); }));
+  RestoreStore();
+  store_.PutUpstream("i-1", "127.0.0.1:80", "draining", 2, 1000);
+  EXPECT_TRUE(RunUntil([&] {
+    return Has("i-1") && upstreams_->at(upstream_id("i-1")).draining;
+  }));
+}
+
+// Guards against going back to an older configuration with a key that has been
+// revoked since, and against a next version that is noticed only when the
+// revisions have passed the one known before.
+TEST_F(catalog_feed_restore_test, Configuration_OlderInCopy_NeverGoesBack) {
+  PutConfiguration(3, "old");
+  ASSERT_TRUE(Start());
+  store_.Snapshot();
+  RaiseRevision();
+  PutConfiguration(4, "new");
+  ASSERT_TRUE(RunUntil([&] { return version() == 4; }));
+  RestoreStore();
+  context_.run_for(std::chrono::milliseconds(1500));
+  EXPECT_EQ(version(), 4U);
+  EXPECT_FALSE(deployments_.back()->keys.contains("old"));
+  PutConfiguration(5, "next");
+  ASSERT_TRUE(RunUntil([&] { return version() == 5; }));
+  EXPECT_TRUE(deployments_.back()->keys.contains("next"));
+  for (std::size_t i = 1; i < deployments_.size(); ++i) {
+    EXPECT_GT(deployments_[i]->version, deployments_[i - 1]->version);
+  }
+}
+
+// Guards against giving up the configuration in force for one that cannot be
+// read, after a restore and without one.
+TEST_F(catalog_feed_restore_test, Configuration_UnreadableInCopy_LastInForce) {
+  ASSERT_TRUE(Start());
+  PutConfiguration(3, "key");
+  ASSERT_TRUE(RunUntil([&] { return version() == 3; }));
+  store_.Put(platform::kConfigurationKind, platform::kConfigurationName,
+             {{"version", 4}, {"routes", "none"}});
+  store_.Snapshot();
+  context_.run_for(std::chrono::milliseconds(300));
+  RestoreStore();
+  context_.run_for(std::chrono::milliseconds(500));
+  EXPECT_EQ(version(), 3U);
+  PutConfiguration(5, "next");
+  EXPECT_TRUE(RunUntil([&] { return version() == 5; }));
+}
+
+// Guards against weights of an older version, and against a next version that
+// is not noticed.
+TEST_F(catalog_feed_restore_test, TargetVersion_OlderInCopy_NeverGoesBack) {
+  ASSERT_TRUE(Start());
+  store_.Snapshot();
+  RaiseRevision();
+  store_.PutVersion(2);
+  ASSERT_TRUE(RunUntil([&] { return target_versions_.back() == 2; }));
+  RestoreStore();
+  context_.run_for(std::chrono::milliseconds(500));
+  store_.PutVersion(3);
+  ASSERT_TRUE(RunUntil([&] { return target_versions_.back() == 3; }));
+  EXPECT_TRUE(std::is_sorted(target_versions_.begin(), target_versions_.end()));
+}
+
 }  // namespace
 }  // namespace fireflyslip
--- a/tests/node/catalog_relay_test.cc
+++ b/tests/node/catalog_relay_test.cc
@@ -22,7 +22,7 @@
   /// \brief Process that follows the relay.
   struct follower {
     std::unique_ptr<relay_client> client;
-    relay_query known{0, 0, 0, {}};
+    relay_query known{store_position{}, store_position{}, store_position{}};
     std::map<upstream_id, upstream_entry> upstreams;
     std::uint64_t configuration = 0;
     std::uint64_t version = 0;
@@ -53,9 +53,10 @@
     callbacks.on_answer = [&added](const relay_answer& answer,
                                    time_point sent) {
       ++added.answers;
-      added.known.upstreams = answer.upstreams->revision;
-      added.known.versions = answer.versions->revision;
-      added.known.configuration = answer.configuration->revision;
+      added.known.upstreams =
+          std::max(*added.known.upstreams, answer.upstreams->position);
+      added.known.versions = answer.versions->position;
+      added.known.configuration = answer.configuration->position;
       added.changes += answer.upstreams->changes.size();
       for (const upstream_change& change : answer.upstreams->changes) {
         added.upstreams.erase(change.id);
@@ -80,6 +81,49 @@
     return added;
   }
 
+  /// Polls with a long hold time from a revision of all kinds, in the era 1 or
+  /// without an era; sets `done` at the response.
+  void Poll(std::uint64_t revision, bool states_eras, bool& done) {
+    std::string target = "/catalog?hold_us=50000000";
+    for (const std::string kind : {"configuration", "upstreams", "versions"}) {
+      target += "&" + kind + "=" + std::to_string(revision);
+      target += states_eras ? "&" + kind + "_era=1" : "";
+    }
+    boost::asio::co_spawn(
+        context_,
+        [this, target, &done]() -> boost::asio::awaitable<void> {
+          http_request request;
+          request.target = target;
+          const http_endpoint relay{"127.0.0.1", port_};
+          const auto response = co_await poll_client_.Request(
+              relay, std::move(request), seconds(60));
+          done = IsOk(response);
+        },
+        boost::asio::detached);
+  }
+
+  /// Revisions rise by 50, then the store comes back from a copy before that
+  /// and the relay has noticed it. Returns the highest revision before.
+  std::uint64_t RestoreStore(const follower& process) {
+    store_.Snapshot();
+    for (int i = 0; i < 50; ++i) {
+      store_.PutConfiguration(5);
+    }
+    store_.PutUpstream("i-2", "127.0.0.1:81");
+    const std::uint64_t highest = store_.revision();
+    EXPECT_TRUE(RunUntil([&] {
+      return process.configuration == 5 && process.upstreams.size() == 2;
+    }));
+    store_.Restore();
+    EXPECT_TRUE(RunUntil([&] {
+      return store_.lists(platform::kConfigurationKind) > 1 &&
+             store_.lists(platform::kUpstreamKind) > 1 &&
+             store_.lists(platform::kVersionKind) > 1;
+    }));
+    context_.run_for(std::chrono::milliseconds(50));
+    return highest;
+  }
+
   /// Runs until the condition holds or the time is over.
   bool RunUntil(const std::function<bool()>& condition,
                 duration limit = seconds(20)) {
@@ -95,6 +139,7 @@
   node_settings settings_;
   std::unique_ptr<catalog_relay> relay_;
   unsigned short port_ = 0;
+  http_client poll_client_{context_};
   std::vector<std::unique_ptr<follower>> followers_;
 };
 
@@ -234,6 +279,57 @@
   EXPECT_EQ(ValueOf(*content)["version"], 9);
 }
 
+// Guards against polls that are held after a restore, because the process knows
+// a higher revision of the time before it.
+TEST_F(catalog_relay_test, StoreRestored_PollFromHigherRevision_Answered) {
+  follower& process = AddFollower();
+  ASSERT_TRUE(RunUntil([&] { return process.configuration == 1; }));
+  const std::uint64_t known = RestoreStore(process);
+  store_.PutConfiguration(6);
+  ASSERT_LT(store_.revision(), known);
+  bool answered = false;
+  Poll(known, true, answered);
+  EXPECT_TRUE(RunUntil([&] { return answered; }));
+}
+
+// Guards against answering an older process, which states no era, at once
+// again and again: its polls have no other delay than the time of holding.
+TEST_F(catalog_relay_test, StoreRestored_PollWithoutEra_Held) {
+  follower& process = AddFollower();
+  ASSERT_TRUE(RunUntil([&] { return process.configuration == 1; }));
+  const std::uint64_t known = RestoreStore(process);
+  bool answered = false;
+  Poll(known, false, answered);
+  context_.run_for(std::chrono::milliseconds(500));
+  EXPECT_FALSE(answered);
+}
+
+// Guards against an older configuration from a relay after a restore.
+TEST_F(catalog_relay_test, StoreRestored_ConfigurationRead_NewestItHasHad) {
+  follower& process = AddFollower();
+  ASSERT_TRUE(RunUntil([&] { return process.configuration == 1; }));
+  RestoreStore(process);
+  std::optional<result<nlohmann::json>> content;
+  boost::asio::co_spawn(
+      context_,
+      [&]() -> boost::asio::awaitable<void> {
+        content = co_await process.client->ReadConfiguration();
+      },
+      boost::asio::detached);
+  ASSERT_TRUE(RunUntil([&] { return content.has_value(); }));
+  ASSERT_TRUE(IsOk(*content));
+  EXPECT_EQ(ValueOf(*content)["version"], 5);
+  EXPECT_EQ(process.configuration, 5U);
+}
+
+// Guards against trust in a relay that has not noticed a restore.
+TEST_F(catalog_relay_test, Relay_OfOlderEraThanFollower_FollowerWatchesStore) {
+  follower& process = AddFollower();
+  ASSERT_TRUE(RunUntil([&] { return process.configuration == 1; }));
+  process.known.upstreams = store_position{2, 1};
+  EXPECT_TRUE(RunUntil([&] { return process.watches_store; }));
+}
+
 // Guards against watches that go on for nobody.
 TEST_F(catalog_relay_test, Followers_None_StoreNotCalled) {
   context_.run_for(std::chrono::milliseconds(200));
--- a/tests/node/relay_message_test.cc
+++ b/tests/node/relay_message_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <nlohmann/json.hpp>
+
 #include "node/compression.h"
 
 namespace fireflyslip {
@@ -27,27 +29,72 @@
     answer.fresh = true;
     answer.held = milliseconds(800);
     answer.outage = {seconds(3), milliseconds(200)};
-    answer.configuration = {17, 5, milliseconds(900)};
+    answer.configuration = {{2, 17}, 5, milliseconds(900)};
     answer.upstreams = upstream_changes{
-        20,
+        {2, 20},
         false,
         {{upstream_id("a"), Entry("a")}, {upstream_id("b"), std::nullopt}}};
     answer.versions = {
-        12, milliseconds(700), {{model_name("m"), {3, seconds(2)}}}};
+        {1, 12}, milliseconds(700), {{model_name("m"), {3, seconds(2)}}}};
     answer.relays = {"10.1.0.40", "10.1.0.41"};
     return answer;
   }
 };
 
 TEST_F(relay_message_test, Query_Formatted_ParsesEqual) {
-  const relay_query query{5, std::nullopt, 0, milliseconds(800)};
+  const relay_query query{store_position{2, 5}, std::nullopt, store_position{},
+                          milliseconds(800)};
   EXPECT_EQ(ParseRelayTarget(RelayTarget(query)), query);
 }
 
+// Guards against refusing the polls of older processes, which state no era.
+TEST_F(relay_message_test, Query_WithoutEras_EraZero) {
+  const auto query = ParseRelayTarget("/catalog?upstreams=7&hold_us=5");
+  ASSERT_TRUE(query);
+  EXPECT_EQ(query->upstreams, (store_position{0, 7}));
+  EXPECT_FALSE(query->states_eras);
+  EXPECT_EQ(ParseRelayTarget(RelayTarget(*query)), query);
+}
+
+// Guards against refusing the answers of older relays, which state no era.
+TEST_F(relay_message_test, Answer_WithoutEras_EraZero) {
+  const nlohmann::json message =
+      nlohmann::json::array({true,
+                             0,
+                             nullptr,
+                             {17, 5, 900},
+                             {20, true, nlohmann::json::array()},
+                             {12, 700, nlohmann::json::array()},
+                             nlohmann::json::array()});
+  std::string bytes;
+  nlohmann::json::to_cbor(message, bytes);
+  const auto answer = DecodeRelayAnswer(Compress(bytes));
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->configuration->position, (store_position{0, 17}));
+  EXPECT_EQ(answer->upstreams->position, (store_position{0, 20}));
+  EXPECT_EQ(answer->versions->position, (store_position{0, 12}));
+}
+
+// Guards against trust in a relay that has not noticed a restore.
+TEST_F(relay_message_test, IsOfOlderEra_AnyKindOlder_True) {
+  const relay_answer answer = Answer();
+  relay_query query{store_position{2, 90}, store_position{2, 90},
+                    store_position{1, 90}};
+  EXPECT_FALSE(IsOfOlderEra(answer, query));
+  query.versions = store_position{2, 1};
+  EXPECT_TRUE(IsOfOlderEra(answer, query));
+  query.versions = std::nullopt;
+  EXPECT_FALSE(IsOfOlderEra(answer, query));
+  query.upstreams = store_position{3, 1};
+  EXPECT_TRUE(IsOfOlderEra(answer, query));
+}
+
 // Guards against accepting requests that are not polls.
 TEST_F(relay_message_test, Query_Malformed_Nothing) {
   EXPECT_EQ(ParseRelayTarget("/other?upstreams=1"), std::nullopt);
   EXPECT_EQ(ParseRelayTarget("/catalog?upstreams=x"), std::nullopt);
+  EXPECT_EQ(ParseRelayTarget("/catalog?upstreams=1&upstreams_era=x"),
+            std::nullopt);
   EXPECT_EQ(ParseRelayTarget("/catalog?upstreams=99999999999999999999"),
             std::nullopt);
 }
@@ -83,7 +130,7 @@
 // it goes to each process of the data centre.
 TEST_F(relay_message_test, Answer_AllUpstreamsOfLargeFleet_Small) {
   relay_answer answer;
-  answer.upstreams = upstream_changes{1, true, {}};
+  answer.upstreams = upstream_changes{{1, 1}, true, {}};
   constexpr int kUpstreams = 350;
   constexpr std::size_t kMaxBytesPerUpstream = 40;
   for (int i = 0; i < kUpstreams; ++i) {
