Keep what is known of leaving upstreams when the store is restored

After a restore of the platform's store from an older copy, gateways sent requests to upstreams that were draining or had been removed, because the copy holds them as ready, and gave up at once upstreams that were added since the copy, if the store was away for less than the outage threshold.

Entries missing from the restored list are kept for the registration grace. Heartbeats alone are no changes, except the first one of an entry that the copy has brought back, which a relay must pass on. Entries without a start time are exempt, because their incarnation is unknown.

The tests of the cores need the new events and were not run on the old code.

--- a/include/fireflyslip/catalog/upstream_entry.h
+++ b/include/fireflyslip/catalog/upstream_entry.h
@@ -26,9 +26,18 @@
   /// Versions of the weights that it serves; empty for services without models.
   std::map<model_name, std::uint64_t> model_versions;
 
+  /// Number of heartbeats since the start.
+  std::uint64_t sequence = 0;
+
   auto operator<=>(const upstream_entry&) const = default;
 };
 
+/// \brief Whether two entries differ at most in their heartbeats.
+inline bool IsSameState(const upstream_entry& a, upstream_entry b) {
+  b.sequence = a.sequence;
+  return a == b;
+}
+
 }  // namespace fireflyslip
 
 #endif  // FIREFLYSLIP_CATALOG_UPSTREAM_ENTRY_H_
--- a/include/fireflyslip/catalog/upstream_history.h
+++ b/include/fireflyslip/catalog/upstream_history.h
@@ -44,8 +44,8 @@
   void Replace(const std::vector<upstream_entry>& entries,
                const store_position& position);
   /// \brief Applies changes that are complete up to `position`, which must be
-  /// of the same era as the last list. Entries that are equal to the known ones
-  /// are no changes.
+  /// of the same era as the last list. Entries that differ from the known ones
+  /// at most in their heartbeats are no changes.
   void Apply(const std::vector<upstream_change>& changes,
              const store_position& position);
 
@@ -69,6 +69,9 @@
   struct record {
     std::optional<upstream_entry> entry;
     store_position position;  // of its last change
+    /// Was removed, and is in an older copy of the store. Its next heartbeat is
+    /// a change, because it proves that the upstream is alive.
+    bool returned = false;
   };
 
   void Set(const upstream_id& id,
--- a/src/catalog/upstream_history.cc
+++ b/src/catalog/upstream_history.cc
@@ -18,7 +18,7 @@
   }
   for (auto& [id, known] : records_) {
     if (!present.contains(id) && known.entry) {
-      known = {std::nullopt, position};
+      known = {std::nullopt, position, false};
       last_change_ = position;
     }
   }
@@ -68,12 +68,23 @@
                            const std::optional<upstream_entry>& entry,
                            const store_position& position) {
   const auto found = records_.find(id);
-  const bool unchanged = found == records_.end() ? !entry.has_value()
-                                                 : found->second.entry == entry;
-  if (unchanged) {
+  if (found == records_.end() && !entry) {
     return;
   }
-  records_[id] = {entry, position};
+  record& known = records_[id];
+  if (known.entry && entry && IsSameState(*known.entry, *entry)) {
+    const bool is_alive =
+        known.returned && entry->sequence > known.entry->sequence;
+    known.entry->sequence = entry->sequence;
+    if (!is_alive) {
+      return;
+    }
+  } else if (found != records_.end() && !known.entry && !entry) {
+    return;
+  }
+  const bool returned = found != records_.end() && !known.entry &&
+                        position.era > known.position.era;
+  known = {entry, position, returned};
   last_change_ = position;
 }
 
--- a/src/catalog/upstream_registry.cc
+++ b/src/catalog/upstream_registry.cc
@@ -17,7 +17,7 @@
                      return;
                    }
                    for (const upstream_id& id : std::exchange(missing_, {})) {
-                     changed_ |= entries_.erase(id) > 0;
+                     Erase(id);
                    }
                  },
                  [&](const platform_responded& response) {
@@ -27,14 +27,17 @@
                                   now + grace_period_ - response.recovered_for);
                    }
                  },
+                 [&](const store_restored&) {
+                   grace_until_ = std::max(grace_until_, now + grace_period_);
+                   for (auto& [id, left] : departed_) {
+                     left.may_be_in_copy = true;
+                   }
+                 },
                  [&](const listed& list) {
                    std::set<upstream_id> present;
                    for (const upstream_entry& entry : list.entries) {
                      present.insert(entry.id);
-                     missing_.erase(entry.id);
-                     upstream_entry& known = entries_[entry.id];
-                     changed_ |= known != entry;
-                     known = entry;
+                     Set(entry);
                    }
                    const upstream_map before = entries_;
                    for (const auto& [id, entry] : before) {
@@ -43,12 +46,7 @@
                      }
                    }
                  },
-                 [&](const changed& change) {
-                   missing_.erase(change.entry.id);
-                   upstream_entry& known = entries_[change.entry.id];
-                   changed_ |= known != change.entry;
-                   known = change.entry;
-                 },
+                 [&](const changed& change) { Set(change.entry); },
                  [&](const removed& removal) { Drop(removal.id, now); },
              },
              event);
@@ -65,6 +63,33 @@
   return grace_until_;
 }
 
+void upstream_registry::Set(upstream_entry entry) {
+  const auto left = departed_.find(entry.id);
+  if (left != departed_.end()) {
+    if (left->second.started_ms == entry.started_ms) {
+      if (left->second.may_be_in_copy &&
+          entry.sequence <= left->second.sequence) {
+        return;
+      }
+      entry.draining |= left->second.draining;
+    }
+    departed_.erase(left);
+  }
+  missing_.erase(entry.id);
+  const auto [found, added] = entries_.try_emplace(entry.id, entry);
+  if (added) {
+    changed_ = true;
+    return;
+  }
+  upstream_entry& known = found->second;
+  if (entry.started_ms != 0 && entry.started_ms == known.started_ms) {
+    entry.draining |= known.draining;
+    entry.sequence = std::max(entry.sequence, known.sequence);
+  }
+  changed_ |= !IsSameState(known, entry);
+  known = std::move(entry);
+}
+
 void upstream_registry::Drop(const upstream_id& id, time_point now) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) {
@@ -76,6 +101,25 @@
     return;
   }
   missing_.erase(id);
+  Erase(id);
+}
+
+void upstream_registry::Erase(const upstream_id& id) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) {
+    return;
+  }
+  const upstream_entry& entry = found->second;
+  if (entry.started_ms != 0) {
+    departed_[id] = {entry.started_ms, entry.sequence, entry.draining, false,
+                     ++departures_};
+  }
+  if (departed_.size() > max_departed_) {
+    departed_.erase(std::min_element(departed_.begin(), departed_.end(),
+                                     [](const auto& a, const auto& b) {
+                                       return a.second.order < b.second.order;
+                                     }));
+  }
   entries_.erase(found);
   changed_ = true;
 }
--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -199,6 +199,10 @@
           " era=" + std::to_string(at.era) +
           " revision=" + std::to_string(at.revision));
     }
+    if (known_positions_.upstreams->revision > 0 &&
+        at.era > known_positions_.upstreams->era) {
+      HandleUpstreams(upstream_registry::store_restored{});
+    }
     known_positions_.upstreams = at;
     const relayed_outage outage = answer.outage.value_or(relayed_outage{});
     upstreams_listed_ = true;
@@ -312,6 +316,10 @@
       }
     }
     upstreams_listed_ = true;
+    if (known_positions_.upstreams->revision > 0 &&
+        listing.position.era > known_positions_.upstreams->era) {
+      HandleUpstreams(upstream_registry::store_restored{});
+    }
     HandleUpstreams(std::move(list));
   };
   callbacks.on_change = [this](const platform::store_change& change) {
--- a/src/node/relay_message.cc
+++ b/src/node/relay_message.cc
@@ -105,6 +105,7 @@
     item.push_back(entry.has_engine);
     item.push_back(entry.started_ms);
     item.push_back(EncodeVersions(entry.model_versions));
+    item.push_back(entry.sequence);
   }
   return item;
 }
@@ -186,6 +187,7 @@
     entry.has_engine = reader.Bool();
     entry.started_ms = reader.Unsigned();
     entry.model_versions = reader.Versions();
+    entry.sequence = reader.OptionalUnsigned();
     change.entry = std::move(entry);
   }
   if (!reader.ok()) {
--- a/tests/catalog/upstream_history_test.cc
+++ b/tests/catalog/upstream_history_test.cc
@@ -113,6 +113,22 @@
             std::vector<upstream_change>{Change("b", true)});
 }
 
+// Guards against a gateway that never learns that an upstream is alive which it
+// does not take back from the copy.
+TEST_F(upstream_history_test, Apply_HeartbeatOfReturnedEntry_OneChange) {
+  upstream_change heartbeat = Change("a");
+  history_.Replace({Entry("a"), Entry("b")}, {1, 10});
+  history_.Apply({Removal("a")}, {1, 11});
+  history_.Replace({Entry("a"), Entry("b")}, {2, 5});
+  heartbeat.entry->sequence = 1;
+  history_.Apply({heartbeat}, {2, 6});
+  EXPECT_EQ(history_.Since({2, 5}).changes,
+            std::vector<upstream_change>{heartbeat});
+  heartbeat.entry->sequence = 2;
+  history_.Apply({heartbeat}, {2, 7});
+  EXPECT_FALSE(history_.HasChangesAfter({2, 6}));
+}
+
 // Guards against going back to the state before a restore.
 TEST_F(upstream_history_test, Replace_OlderEra_Ignored) {
   history_.Replace({Entry("a")}, {2, 8});
--- a/tests/catalog/upstream_registry_test.cc
+++ b/tests/catalog/upstream_registry_test.cc
@@ -31,6 +31,20 @@
     Send(upstream_registry::listed{entries});
   }
 
+  static upstream_entry Incarnation(const std::string& id,
+                                    std::uint64_t started_ms,
+                                    std::uint64_t sequence,
+                                    bool draining = false) {
+    upstream_entry entry = Entry(id, draining);
+    entry.started_ms = started_ms;
+    entry.sequence = sequence;
+    return entry;
+  }
+
+  bool IsDraining(const std::string& id) const {
+    return known_->at(upstream_id(id)).draining;
+  }
+
   upstream_registry registry_{seconds(1), seconds(2)};
   time_point now_ = time_point(seconds(100));
   std::shared_ptr<const upstream_map> known_;
@@ -102,5 +116,69 @@
   EXPECT_FALSE(Has("a"));
 }
 
+// Guards against losing upstreams that were added since the copy, although the
+// store was away only for a moment.
+TEST_F(upstream_registry_test, Restored_MissingInCopy_KeptForGrace) {
+  StartWith({Incarnation("a", 1, 5), Incarnation("b", 1, 5)});
+  Send(upstream_registry::store_restored{});
+  Send(upstream_registry::listed{{Incarnation("b", 1, 5)}});
+  EXPECT_TRUE(Has("a"));
+  EXPECT_EQ(registry_.NextDeadline(), now_ + seconds(2));
+  now_ += seconds(2);
+  Send(tick{});
+  EXPECT_FALSE(Has("a"));
+}
+
+// Guards against requests to a removed upstream that is in the copy.
+TEST_F(upstream_registry_test, Restored_RemovedIncarnation_NotTakenBack) {
+  StartWith({Incarnation("a", 1, 5), Incarnation("b", 1, 5)});
+  Send(upstream_registry::removed{upstream_id("a")});
+  Send(upstream_registry::store_restored{});
+  Send(upstream_registry::listed{
+      {Incarnation("a", 1, 4), Incarnation("b", 1, 5)}});
+  EXPECT_FALSE(Has("a"));
+  Send(upstream_registry::changed{Incarnation("a", 1, 6)});
+  EXPECT_TRUE(Has("a"));
+}
+
+// Guards against refusing an entry that is written again without a restore.
+TEST_F(upstream_registry_test, Removed_WithoutRestore_TakenBack) {
+  StartWith({Incarnation("a", 1, 5)});
+  Send(upstream_registry::removed{upstream_id("a")});
+  Send(upstream_registry::changed{Incarnation("a", 1, 5)});
+  EXPECT_TRUE(Has("a"));
+}
+
+// Guards against requests to a draining upstream that is ready in the copy.
+TEST_F(upstream_registry_test, Draining_ReadyInCopy_StaysDraining) {
+  StartWith({Incarnation("a", 1, 5, true)});
+  Send(upstream_registry::store_restored{});
+  Send(upstream_registry::listed{{Incarnation("a", 1, 4)}});
+  EXPECT_TRUE(IsDraining("a"));
+  Send(upstream_registry::changed{Incarnation("a", 2, 1)});
+  EXPECT_FALSE(IsDraining("a"));
+}
+
+// Guards against publishing all upstreams at each heartbeat.
+TEST_F(upstream_registry_test, Heartbeat_Only_NotPublished) {
+  StartWith({Incarnation("a", 1, 5)});
+  known_.reset();
+  Send(upstream_registry::changed{Incarnation("a", 1, 9)});
+  EXPECT_FALSE(known_);
+}
+
+// Guards against unbounded memory for removed upstreams.
+TEST_F(upstream_registry_test, Departed_MoreThanRemembered_OldestForgotten) {
+  registry_ = upstream_registry(seconds(1), seconds(2), 1);
+  StartWith({Incarnation("a", 1, 5), Incarnation("b", 1, 5)});
+  Send(upstream_registry::removed{upstream_id("a")});
+  Send(upstream_registry::removed{upstream_id("b")});
+  Send(upstream_registry::store_restored{});
+  Send(upstream_registry::listed{
+      {Incarnation("a", 1, 5), Incarnation("b", 1, 5)}});
+  EXPECT_TRUE(Has("a"));
+  EXPECT_FALSE(Has("b"));
+}
+
 }  // namespace
 }  // namespace fireflyslip
--- a/tests/gateway/catalog_feed_test.cc
+++ b/tests/gateway/catalog_feed_test.cc
@@ -168,6 +168,56 @@
   }));
 }
 
+// Guards against requests to an upstream that has left, because the copy holds
+// its entry from before.
+TEST_F(catalog_feed_restore_test, Upstream_RemovedSinceCopy_StaysRemoved) {
+  ASSERT_TRUE(Start());
+  store_.PutUpstream("i-2", "127.0.0.1:81", "ready", 1, 2000);
+  ASSERT_TRUE(RunUntil([&] { return Has("i-2"); }));
+  store_.Snapshot();
+  RaiseRevision();
+  store_.Remove(platform::kUpstreamKind, "i-2");
+  ASSERT_TRUE(RunUntil([&] { return !Has("i-2"); }));
+  RestoreStore();
+  store_.PutUpstream("i-3", "127.0.0.1:82", "ready", 1, 3000);
+  ASSERT_TRUE(RunUntil([&] { return Has("i-3"); }));
+  EXPECT_FALSE(Has("i-2"));
+  // Its next heartbeat proves that it is alive.
+  store_.PutUpstream("i-2", "127.0.0.1:83", "ready", 2, 2000);
+  EXPECT_TRUE(RunUntil([&] { return Has("i-2"); }));
+}
+
+// Guards against requests to a draining upstream, which is ready in the copy.
+TEST_F(catalog_feed_restore_test, Upstream_DrainingSinceCopy_StaysDraining) {
+  ASSERT_TRUE(Start());
+  store_.Snapshot();
+  RaiseRevision();
+  store_.PutUpstream("i-1", "127.0.0.1:80", "draining", 2, 1000);
+  const auto draining = [&] {
+    return Has("i-1") && upstreams_->at(upstream_id("i-1")).draining;
+  };
+  ASSERT_TRUE(RunUntil(draining));
+  RestoreStore();
+  store_.PutUpstream("i-3", "127.0.0.1:82", "ready", 1, 3000);
+  ASSERT_TRUE(RunUntil([&] { return Has("i-3"); }));
+  EXPECT_TRUE(draining());
+}
+
+// Guards against giving up an upstream that was added since the copy: its entry
+// is written again within two seconds.
+TEST_F(catalog_feed_restore_test, Upstream_AddedSinceCopy_KeptForGrace) {
+  ASSERT_TRUE(Start());
+  store_.Snapshot();
+  RaiseRevision();
+  store_.PutUpstream("i-2", "127.0.0.1:81", "ready", 1, 2000);
+  ASSERT_TRUE(RunUntil([&] { return Has("i-2"); }));
+  RestoreStore();
+  store_.PutUpstream("i-3", "127.0.0.1:82", "ready", 1, 3000);
+  ASSERT_TRUE(RunUntil([&] { return Has("i-3"); }));
+  EXPECT_TRUE(Has("i-2"));
+  EXPECT_TRUE(RunUntil([&] { return !Has("i-2"); }));
+}
+
 // Guards against going back to an older configuration with a key that has been
 // revoked since, and against a next version that is noticed only when the
 // revisions have passed the one known before.
--- a/tests/node/relay_message_test.cc
+++ b/tests/node/relay_message_test.cc
@@ -20,6 +20,7 @@
     entry.slots = 8;
     entry.has_engine = true;
     entry.started_ms = 1'764'000'000'000;
+    entry.sequence = 70;
     entry.model_versions[model_name("m")] = 3;
     return entry;
   }
