--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -148,8 +148,8 @@
     }
   };
   callbacks.on_confirmed = [this](const watch_freshness&,
-                                  std::uint64_t revision) {
-    versions_revision_ = std::max(versions_revision_, revision);
+                                  const store_position& position) {
+    versions_position_ = std::max(versions_position_, position);
   };
   return callbacks;
 }
@@ -157,14 +157,14 @@
 relay_client::handlers stager::RelayHandlers() {
   relay_client::handlers callbacks;
   callbacks.query = [this] {
-    return relay_query{std::nullopt, std::nullopt, versions_revision_, {}};
+    return relay_query{std::nullopt, std::nullopt, versions_position_, {}};
   };
   callbacks.on_answer = [this](const relay_answer& answer, time_point) {
     if (!answer.versions) {
       return;
     }
-    versions_revision_ =
-        std::max(versions_revision_, answer.versions->revision);
+    versions_position_ =
+        std::max(versions_position_, answer.versions->position);
     for (const auto& [model, published] : answer.versions->versions) {
       SetNewestVersion(model, published.version);
     }
@@ -172,7 +172,7 @@
     relay_client_.SetRelays(answer.relays);
   };
   callbacks.on_watch_store = [this](bool watch) {
-    version_watch_.AdvanceRevision(versions_revision_);
+    version_watch_.Advance(versions_position_);
     version_watch_.SetFollowing(watch);
     if (watch) {
       peer_refresh_.RecordRelayLost(MonotonicNow());
@@ -380,7 +380,7 @@
 
 awaitable<void> stager::ReadPeerChanges() {
   const auto changes =
-      co_await relay_client_.ReadUpstreams(upstreams_revision_);
+      co_await relay_client_.ReadUpstreams(upstreams_position_);
   if (!IsOk(changes)) {
     co_return;
   }
@@ -393,7 +393,7 @@
       upstreams_.emplace(change.id, *change.entry);
     }
   }
-  upstreams_revision_ = ValueOf(changes).revision;
+  upstreams_position_ = ValueOf(changes).position;
   SetPeers();
 }
 
@@ -415,8 +415,8 @@
       upstreams_.emplace(entry->id, *entry);
     }
   }
-  // The list may be older than the revision that comes with it.
-  upstreams_revision_ = 0;
+  // The list may be older than the position that comes with it.
+  upstreams_position_ = {};
   SetPeers();
   if (peers_.empty()) {
     peer_refresh_.RecordNoPeers(MonotonicNow());
