Send the changes of the configuration instead of its whole content

At each change the 30 gateways of a data centre read the whole content from one relay, or from the store once that takes too long.

Cause: a notice goes to all processes, but each of them then fetches all of what it is about. The cost of one change is the product of the processes and the size of the state: 394 KB of JSON for 1,529 routes, some 28 KB compressed. One change is 0.84 MB on the link of the relay, which carries 1.18 MB a second beside the streams of its replica and the chunks of weights.

A relay now keeps the changes between the last versions as edits of the content, and a process that knows one of these versions gets the edits after it. A process that knows nothing gets the whole content in the same form.

--- a/include/fireflyslip/catalog.h
+++ b/include/fireflyslip/catalog.h
@@ -5,11 +5,13 @@
 /// published model versions, the age of that view and where it comes from.
 
 #include "fireflyslip/catalog/change_age.h"
+#include "fireflyslip/catalog/content_history.h"
 #include "fireflyslip/catalog/deployment.h"
 #include "fireflyslip/catalog/pending_confirmations.h"
 #include "fireflyslip/catalog/relay_selector.h"
 #include "fireflyslip/catalog/route_table.h"
 #include "fireflyslip/catalog/store_position.h"
+#include "fireflyslip/catalog/text_delta.h"
 #include "fireflyslip/catalog/upstream_entry.h"
 #include "fireflyslip/catalog/upstream_history.h"
 #include "fireflyslip/catalog/upstream_registry.h"
--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "platform/catalog_codec.h"
+#include "platform/json_access.h"
 #include "platform/wire_names.h"
 
 namespace fireflyslip {
@@ -142,9 +143,14 @@
 }
 
 awaitable<bool> catalog_feed::ReadConfigurationOnce() {
-  const auto content = co_await relay_.ReadConfiguration();
-  if (IsOk(content)) {
-    ApplyConfiguration(ValueOf(content));
+  const time_point sent = MonotonicNow();
+  auto read = co_await relay_.ReadConfiguration(configuration_);
+  if (IsOk(read)) {
+    LogLine("event=configuration_read source=relay version=" +
+            std::to_string(ValueOf(read).id.version) + " took_ms=" +
+            std::to_string((MonotonicNow() - sent).count() / 1000));
+    const nlohmann::json content = platform::ParseJson(ValueOf(read).text);
+    ApplyConfiguration(content, std::move(ValueOf(read).text));
     if (deployment_ && deployment_->version >= announced_configuration_) {
       co_return true;
     }
@@ -383,11 +389,12 @@
 void catalog_feed::ApplyConfigurationObject(
     const platform::store_object& object) {
   if (object.name == platform::kConfigurationName) {
-    ApplyConfiguration(object.content);
+    ApplyConfiguration(object.content, object.content.dump());
   }
 }
 
-void catalog_feed::ApplyConfiguration(const nlohmann::json& content) {
+void catalog_feed::ApplyConfiguration(const nlohmann::json& content,
+                                      std::string text) {
   result<deployment> decoded = platform::DecodeDeployment(content);
   if (!IsOk(decoded)) {
     LogLine("event=configuration_rejected reason=\"" + ErrorOf(decoded).detail +
@@ -399,6 +406,8 @@
     return;
   }
   deployment_ = std::make_shared<const deployment>(ValueOf(std::move(decoded)));
+  const content_id id{deployment_->version, digest::Of(text)};
+  configuration_ = {id, std::move(text)};
   LogLine("event=configuration_applied version=" +
           std::to_string(deployment_->version) +
           " routes=" + std::to_string(deployment_->routes.size()) +
--- a/src/gateway/catalog_feed.h
+++ b/src/gateway/catalog_feed.h
@@ -65,7 +65,7 @@
   void SetFollowingStore(bool following);
   void OnRelayAnswer(const relay_answer& answer, time_point query_sent);
   void ApplyConfigurationObject(const platform::store_object& object);
-  void ApplyConfiguration(const nlohmann::json& content);
+  void ApplyConfiguration(const nlohmann::json& content, std::string text);
   void ApplyUpstream(const upstream_change& change, bool unreadable);
   void ApplyTargetVersion(const platform::store_object& object);
   void ConfirmKeys(time_point current_as_of);
@@ -89,6 +89,7 @@
   kind_watch version_watch_;
   relay_client relay_;
   std::shared_ptr<const deployment> deployment_;
+  versioned_content configuration_;  // that `deployment_` was decoded from
   std::shared_ptr<const upstream_map> upstreams_;
   relay_query known_positions_;
   std::uint64_t announced_configuration_ = 0;  // newest version of a relay
--- a/src/node/catalog_relay.cc
+++ b/src/node/catalog_relay.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "node/compression.h"
+#include "node/configuration_message.h"
 #include "node/relay_client.h"
 #include "platform/catalog_codec.h"
 #include "platform/json_access.h"
@@ -114,7 +115,7 @@
     configuration_confirmed_ = MonotonicNow();
     const bool changed = configuration_position_.revision == 0 ||
                          position.era > configuration_position_.era;
-    if (changed && configuration_version_ > 0) {
+    if (changed && configuration_.newest().id.version > 0) {
       configuration_position_ = position;
     }
     WakeWaiters();
@@ -125,9 +126,10 @@
 void catalog_relay::SetConfiguration(const platform::store_object& object) {
   const auto version = platform::FindUnsigned(object.content, "version");
   if (object.name == platform::kConfigurationName && version &&
-      *version > configuration_version_) {
-    configuration_version_ = *version;
-    configuration_content_ = Compress(object.content.dump());
+      *version > configuration_.newest().id.version) {
+    configuration_.Set(*version, object.content.dump());
+    compressed_configuration_.clear();
+    encoded_configuration_.clear();
     configuration_position_.revision = 0;  // set when the response is complete
   }
 }
@@ -216,6 +218,10 @@
     co_await ServeConfiguration(writer);
     co_return;
   }
+  if (request.path() == kConfigurationChangesPath) {
+    co_await ServeConfigurationChanges(request.target, writer);
+    co_return;
+  }
   const time_point received = MonotonicNow();
   std::optional<relay_query> query = ParseRelayTarget(request.target);
   http_response response;
@@ -235,10 +241,33 @@
 
 awaitable<void> catalog_relay::ServeConfiguration(response_writer& writer) {
   http_response response;
-  if (configuration_content_.empty()) {
+  const versioned_content& newest = configuration_.newest();
+  if (newest.id.version == 0) {
     response.status = kStatusNotFound;
   } else {
-    response.body = configuration_content_;
+    if (compressed_configuration_.empty()) {
+      compressed_configuration_ = Compress(newest.text);
+    }
+    response.body = compressed_configuration_;
+  }
+  co_await writer.Send(std::move(response));
+}
+
+awaitable<void> catalog_relay::ServeConfigurationChanges(
+    std::string_view target,
+    response_writer& writer) {
+  const auto known = ParseConfigurationChangesTarget(target);
+  http_response response;
+  if (!known || configuration_.newest().id.version == 0) {
+    response.status = kStatusNotFound;
+  } else if (configuration_.HasChangesSince(*known)) {
+    response.body = EncodeConfigurationChanges(configuration_.Since(*known));
+  } else {
+    if (encoded_configuration_.empty()) {
+      encoded_configuration_ =
+          EncodeConfigurationChanges(configuration_.Since({}));
+    }
+    response.body = encoded_configuration_;
   }
   co_await writer.Send(std::move(response));
 }
@@ -357,7 +386,8 @@
     return answer;
   }
   if (query.configuration) {
-    answer.configuration = {configuration_position_, configuration_version_,
+    answer.configuration = {configuration_position_,
+                            configuration_.newest().id.version,
                             now - *configuration_freshness_.current_as_of()};
   }
   if (query.upstreams) {
--- a/src/node/catalog_relay.h
+++ b/src/node/catalog_relay.h
@@ -8,6 +8,8 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include "fireflyslip/catalog.h"
@@ -57,6 +59,9 @@
   boost::asio::awaitable<void> Serve(http_request request,
                                      response_writer& writer);
   boost::asio::awaitable<void> ServeConfiguration(response_writer& writer);
+  boost::asio::awaitable<void> ServeConfigurationChanges(
+      std::string_view target,
+      response_writer& writer);
   boost::asio::awaitable<void> WaitForChanges(const relay_query& query,
                                               time_point deadline);
   void Activate();
@@ -89,9 +94,10 @@
 
   watch_freshness configuration_freshness_;
   std::optional<time_point> configuration_confirmed_;
-  std::uint64_t configuration_version_ = 0;
   store_position configuration_position_;  // of its last change
-  std::string configuration_content_;      // compressed JSON
+  content_history configuration_;          // as JSON
+  std::string compressed_configuration_;   // empty until it is asked for
+  std::string encoded_configuration_;      // the same as a change
   std::optional<time_point> upstreams_confirmed_;
   std::vector<upstream_change> pending_changes_;  // of a response in progress
   std::optional<std::vector<upstream_entry>> pending_list_;
--- a/src/node/relay_client.cc
+++ b/src/node/relay_client.cc
@@ -6,8 +6,7 @@
 #include <utility>
 
 #include "fireflyslip/core/rendezvous.h"
-#include "node/compression.h"
-#include "platform/json_access.h"
+#include "node/configuration_message.h"
 
 namespace fireflyslip {
 namespace {
@@ -21,7 +20,6 @@
 constexpr milliseconds kAnswerTimeout{400};
 /// Timeout of the head and of each part of the content of a configuration.
 constexpr milliseconds kContentTimeout{800};
-constexpr std::size_t kMaxContentBytes = 64UL << 20;
 /// If these fail, the store is watched; more of them would only start more
 /// watches.
 constexpr std::size_t kMaxRelays = 3;
@@ -124,21 +122,22 @@
   co_return *answer->upstreams;
 }
 
-awaitable<result<nlohmann::json>> relay_client::ReadConfiguration() {
-  const auto response = co_await Read(kConfigurationPath);
+awaitable<result<versioned_content>> relay_client::ReadConfiguration(
+    const versioned_content& known) {
+  std::string target = ConfigurationChangesTarget(known.id);
+  const auto response = co_await Read(std::move(target));
   if (!IsOk(response)) {
     co_return ErrorOf(response);
   }
-  const auto text = ValueOf(response).status == kStatusOk
-                        ? Decompress(ValueOf(response).body, kMaxContentBytes)
-                        : std::nullopt;
-  nlohmann::json content =
-      text ? platform::ParseJson(*text)
-           : nlohmann::json(nlohmann::json::value_t::discarded);
-  if (content.is_discarded()) {
+  const auto changes = ValueOf(response).status == kStatusOk
+                           ? DecodeConfigurationChanges(ValueOf(response).body)
+                           : std::nullopt;
+  auto changed = changes ? ApplyChanges(known, *changes, kMaxConfigurationBytes)
+                         : std::nullopt;
+  if (!changed) {
     co_return error{error_kind::kCorruptData, "relay has no configuration"};
   }
-  co_return content;
+  co_return *std::move(changed);
 }
 
 std::vector<std::string> SelectRelays(const upstream_map& upstreams,
--- a/src/node/relay_client.h
+++ b/src/node/relay_client.h
@@ -5,7 +5,6 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
-#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -47,9 +46,10 @@
   /// in use.
   boost::asio::awaitable<result<upstream_changes>> ReadUpstreams(
       store_position position);
-  /// \brief Reads the content of the newest configuration from the relay in
-  /// use.
-  boost::asio::awaitable<result<nlohmann::json>> ReadConfiguration();
+  /// \brief Reads the newest configuration from the relay in use, of which only
+  /// the changes after the one that is known are sent.
+  boost::asio::awaitable<result<versioned_content>> ReadConfiguration(
+      const versioned_content& known);
 
  private:
   void Apply(const relay_selector::action& action);
--- a/src/node/relay_message.cc
+++ b/src/node/relay_message.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "fireflyslip/http/http_message.h"
+#include "node/array_reader.h"
 #include "node/cbor.h"
 #include "node/compression.h"
 
@@ -115,64 +116,6 @@
   return value.count();
 }
 
-/// \brief Reads the elements of an array in order; every getter fails for good
-/// once an element is missing or of another type.
-class array_reader {
- public:
-  explicit array_reader(const json& list) : list_(list) {
-    ok_ = list.is_array();
-  }
-
-  bool ok() const { return ok_; }
-  bool AtEnd() const { return !ok_ || next_ >= list_.size(); }
-
-  const json& Next() {
-    static const json null;
-    if (AtEnd()) {
-      ok_ = false;
-      return null;
-    }
-    return list_[next_++];
-  }
-  std::uint64_t Unsigned() {
-    const json& item = Next();
-    ok_ &= item.is_number_unsigned();
-    return ok_ ? item.get<std::uint64_t>() : 0;
-  }
-  duration Duration() {
-    const json& item = Next();
-    ok_ &= item.is_number_integer();
-    return duration(ok_ ? item.get<std::int64_t>() : 0);
-  }
-  /// \brief An element that older processes do not send; 0 if it is missing.
-  std::uint64_t OptionalUnsigned() { return AtEnd() ? 0 : Unsigned(); }
-  bool Bool() {
-    const json& item = Next();
-    ok_ &= item.is_boolean();
-    return ok_ && item.get<bool>();
-  }
-  std::string Text() {
-    const json& item = Next();
-    ok_ &= item.is_string();
-    return ok_ ? item.get<std::string>() : std::string();
-  }
-  std::map<model_name, std::uint64_t> Versions() {
-    std::map<model_name, std::uint64_t> versions;
-    array_reader list(Next());
-    while (!list.AtEnd()) {
-      model_name model(list.Text());
-      versions[std::move(model)] = list.Unsigned();
-    }
-    ok_ &= list.ok();
-    return versions;
-  }
-
- private:
-  const json& list_;
-  std::size_t next_ = 0;
-  bool ok_ = false;
-};
-
 std::optional<upstream_change> DecodeChange(const json& item) {
   array_reader reader(item);
   upstream_change change;
--- a/src/node/relay_message.h
+++ b/src/node/relay_message.h
@@ -91,10 +91,6 @@
 /// \brief Parses `RelayTarget()`; empty if it is malformed.
 std::optional<relay_query> ParseRelayTarget(std::string_view target);
 
-/// \brief Path at which a relay provides the content of the newest
-/// configuration, compressed.
-inline constexpr char kConfigurationPath[] = "/configuration";
-
 /// \brief Encodes an answer as compressed CBOR.
 std::string EncodeRelayAnswer(const relay_answer& answer);
 /// \brief Decodes an answer; empty if it is malformed.
--- a/tests/node/catalog_relay_test.cc
+++ b/tests/node/catalog_relay_test.cc
@@ -269,16 +269,18 @@
   follower& process = AddFollower();
   store_.PutConfiguration(9);
   ASSERT_TRUE(RunUntil([&] { return process.configuration == 9; }));
-  std::optional<result<nlohmann::json>> content;
+  std::optional<result<versioned_content>> content;
   boost::asio::co_spawn(
       context_,
       [&]() -> boost::asio::awaitable<void> {
-        content = co_await process.client->ReadConfiguration();
+        content = co_await process.client->ReadConfiguration({});
       },
       boost::asio::detached);
   ASSERT_TRUE(RunUntil([&] { return content.has_value(); }));
   ASSERT_TRUE(IsOk(*content));
-  EXPECT_EQ(ValueOf(*content)["version"], 9);
+  const versioned_content& read = ValueOf(*content);
+  EXPECT_EQ(read.id.version, 9U);
+  EXPECT_EQ(nlohmann::json::parse(read.text)["version"], 9);
 }
 
 // Guards against an entry of another writer that ends a relay, or that hides
@@ -367,16 +369,18 @@
   follower& process = AddFollower();
   ASSERT_TRUE(RunUntil([&] { return process.configuration == 1; }));
   RestoreStore(process);
-  std::optional<result<nlohmann::json>> content;
+  std::optional<result<versioned_content>> content;
   boost::asio::co_spawn(
       context_,
       [&]() -> boost::asio::awaitable<void> {
-        content = co_await process.client->ReadConfiguration();
+        content = co_await process.client->ReadConfiguration({});
       },
       boost::asio::detached);
   ASSERT_TRUE(RunUntil([&] { return content.has_value(); }));
   ASSERT_TRUE(IsOk(*content));
-  EXPECT_EQ(ValueOf(*content)["version"], 5);
+  const versioned_content& read = ValueOf(*content);
+  EXPECT_EQ(read.id.version, 5U);
+  EXPECT_EQ(nlohmann::json::parse(read.text)["version"], 5);
   EXPECT_EQ(process.configuration, 5U);
 }
 
