Use a relay of another data centre before the store

Cause: a process whose relay has no current view watches the store at once, and the store sends the whole configuration, not compressed, at each change: 30 gateways and 394 KB are 11.8 MB for a link between two regions that carries 4.25 MB a second. The relay's own requests are delayed with them, so its view does not become current again.

The first relays of two other data centres, which are in use and follow the store already, come between the relays of the data centre. After the loss of the relay in use, a poll of the next one is held for 0.3 s only, and the configuration is watched in the store 0.35 to 0.7 s later, unless nothing is known. Upstreams and versions, whose changes are small, are watched at once, as before. A relay lists the relays for the data centre of the process that asks.

--- a/include/fireflyslip/catalog/relay_selector.h
+++ b/include/fireflyslip/catalog/relay_selector.h
@@ -24,7 +24,8 @@
   /// Longest time for which a relay holds a poll without changes.
   duration hold = milliseconds(800);
   /// Hold time while another relay is in use, whose changes are not seen
-  /// meanwhile; an idle relay reads the store within this time.
+  /// meanwhile, and after the relay in use was lost; an idle relay reads the
+  /// store within this time.
   duration trial_hold = milliseconds(300);
   /// Time that a response may take beyond the hold time.
   duration response_time = milliseconds(200);
@@ -45,8 +46,9 @@
 ///
 /// Load pattern: each change of the catalog answers every watch, so watches of
 /// all processes cost the product of processes and changes. One relay per data
-/// centre watches the store; the other processes poll it. A process watches the
-/// store itself while no relay has a current view, and no longer than that.
+/// centre watches the store; the other processes poll it, and the relay of
+/// another data centre if it is lost. A process watches the store itself while
+/// it knows no relay with a current view, and no longer than that.
 /// Delays are randomized, so that processes do not return at the same time.
 class relay_selector {
  public:
--- a/src/catalog/relay_selector.cc
+++ b/src/catalog/relay_selector.cc
@@ -127,7 +127,7 @@
 
 duration relay_selector::HoldTime(time_point now) const {
   if (!IsServed(now)) {
-    return policy_.hold;
+    return last_fresh_ ? policy_.trial_hold : policy_.hold;
   }
   // After a trial of another relay, the time without a response goes on.
   const duration left =
--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -28,6 +28,10 @@
 /// of a watch.
 constexpr milliseconds kConfigurationWatch{2400};
 constexpr seconds kUpstreamWatch{8};
+/// Least delay of the first of them after the relay was lost; the longest is
+/// twice as much. The store sends the whole configuration at each change, so
+/// processes that find another relay meanwhile must not ask for it.
+constexpr milliseconds kConfigurationWatchDelay{350};
 /// Changes of upstreams arrive in bursts; a draining upstream must receive no
 /// new requests after two seconds.
 constexpr milliseconds kUpstreamBatchDelay{300};
@@ -84,7 +88,12 @@
                       duration(0), kMaxWatchBackoff},
                      VersionHandlers(),
                      seed + 3),
-      relay_(context, settings.RelayPort(), {}, RelayHandlers(), seed + 4),
+      relay_(context,
+             settings.data_centre,
+             settings.RelayPort(),
+             {},
+             RelayHandlers(),
+             seed + 4),
       version_age_(MonotonicNow(), settings.InitialVersionAge()) {
   timers_.SubscribePeriodic(change_age::kMaxObservationGap / 2,
                             [this] { version_age_.Observe(MonotonicNow()); });
@@ -173,11 +182,27 @@
     upstream_watch_.Advance(*known_positions_.upstreams);
     version_watch_.Advance(*known_positions_.versions);
   }
-  configuration_watch_.SetFollowing(following);
+  follows_store_ = following;
+  if (!following) {
+    configuration_watch_.SetFollowing(false);
+  } else if (!deployment_) {
+    configuration_watch_.SetFollowing(true);
+  } else {
+    boost::asio::co_spawn(context_, FollowConfigurationLater(),
+                          boost::asio::detached);
+  }
   upstream_watch_.SetFollowing(following);
   version_watch_.SetFollowing(following);
 }
 
+awaitable<void> catalog_feed::FollowConfigurationLater() {
+  co_await Sleep(FromSeconds(ToSeconds(kConfigurationWatchDelay) *
+                             (1 + random_.Fraction())));
+  if (follows_store_) {
+    configuration_watch_.SetFollowing(true);
+  }
+}
+
 relay_client::handlers catalog_feed::RelayHandlers() {
   relay_client::handlers callbacks;
   callbacks.query = [this] { return known_positions_; };
--- a/src/gateway/catalog_feed.h
+++ b/src/gateway/catalog_feed.h
@@ -63,6 +63,7 @@
   boost::asio::awaitable<bool> ReadConfigurationOnce();
   boost::asio::awaitable<void> Sleep(duration length);
   void SetFollowingStore(bool following);
+  boost::asio::awaitable<void> FollowConfigurationLater();
   void OnRelayAnswer(const relay_answer& answer, time_point query_sent);
   void ApplyConfigurationObject(const platform::store_object& object);
   void ApplyConfiguration(const nlohmann::json& content, std::string text);
@@ -95,6 +96,7 @@
   std::uint64_t announced_configuration_ = 0;  // newest version of a relay
   pending_confirmations pending_confirmations_;
   bool reading_configuration_ = false;
+  bool follows_store_ = false;
   std::map<model_name, std::uint64_t> target_versions_;
   bool upstreams_listed_ = false;
   change_age version_age_;
--- a/src/node/catalog_relay.cc
+++ b/src/node/catalog_relay.cc
@@ -167,7 +167,7 @@
     }
     upstreams_.Apply(pending_changes_, position);
     pending_changes_.clear();
-    relays_ = SelectRelays(upstreams_.Present(), data_centre_);
+    relays_.clear();
     upstreams_confirmed_ = MonotonicNow();
     WakeWaiters();
   };
@@ -401,8 +401,18 @@
                                           now - known.published_at};
     }
   }
-  answer.relays = relays_;
+  answer.relays =
+      RelaysFor(query.data_centre.empty() ? data_centre_ : query.data_centre);
   return answer;
 }
 
+const std::vector<std::string>& catalog_relay::RelaysFor(
+    const data_centre_id& data_centre) const {
+  const auto [relays, is_new] = relays_.try_emplace(data_centre);
+  if (is_new) {
+    relays->second = SelectRelays(upstreams_.Present(), data_centre);
+  }
+  return relays->second;
+}
+
 }  // namespace fireflyslip
--- a/src/node/catalog_relay.h
+++ b/src/node/catalog_relay.h
@@ -79,6 +79,8 @@
   /// compared: its sender would otherwise be answered at once forever.
   void AdoptEras(relay_query& query) const;
   relay_answer Answer(const relay_query& query, time_point received) const;
+  const std::vector<std::string>& RelaysFor(
+      const data_centre_id& data_centre) const;
 
   boost::asio::io_context& context_;
   const watch_durations durations_;
@@ -102,7 +104,8 @@
   std::vector<upstream_change> pending_changes_;  // of a response in progress
   std::optional<std::vector<upstream_entry>> pending_list_;
   upstream_history upstreams_;
-  std::vector<std::string> relays_;  // of the data centre
+  /// By data centre of the processes that use them; computed when needed.
+  mutable std::map<data_centre_id, std::vector<std::string>> relays_;
   std::optional<time_point> versions_confirmed_;
   struct known_version {
     std::uint64_t version = 0;
--- a/src/node/relay_client.cc
+++ b/src/node/relay_client.cc
@@ -1,7 +1,9 @@
 #include "node/relay_client.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -23,6 +25,8 @@
 /// If these fail, the store is watched; more of them would only start more
 /// watches.
 constexpr std::size_t kMaxRelays = 3;
+/// Relays in use of other data centres, which follow the store already.
+constexpr std::size_t kMaxRemoteRelays = 2;
 
 http_client_options ClientOptions() {
   http_client_options options;
@@ -33,11 +37,13 @@
 }  // namespace
 
 relay_client::relay_client(boost::asio::io_context& context,
+                           data_centre_id data_centre,
                            std::uint16_t relay_port,
                            relay_policy policy,
                            handlers callbacks,
                            std::uint64_t seed)
     : context_(context),
+      data_centre_(std::move(data_centre)),
       relay_port_(relay_port),
       handlers_(std::move(callbacks)),
       client_(context, ClientOptions()),
@@ -72,6 +78,7 @@
 awaitable<void> relay_client::Poll(relay_selector::poll order) {
   relay_query query = handlers_.query();
   query.hold = order.hold;
+  query.data_centre = data_centre_;
   http_request request;
   request.target = RelayTarget(query);
   const http_endpoint relay{order.address, relay_port_};
@@ -142,21 +149,43 @@
 
 std::vector<std::string> SelectRelays(const upstream_map& upstreams,
                                       const data_centre_id& data_centre) {
-  std::set<vm_id> addresses;
+  std::map<data_centre_id, std::set<vm_id>> addresses;
   for (const auto& [id, entry] : upstreams) {
     const auto endpoint = ParseHttpEndpoint(entry.address);
-    if (endpoint && entry.data_centre == data_centre && !entry.draining &&
-        entry.has_engine) {
-      addresses.emplace(endpoint->address);
+    if (endpoint && !entry.draining && entry.has_engine) {
+      addresses[entry.data_centre].emplace(endpoint->address);
     }
   }
-  const std::vector<vm_id> order = RendezvousOrder<vm_id>(
-      "catalog_relay", {addresses.begin(), addresses.end()});
+  const auto order_of = [&](const data_centre_id& place) {
+    const std::set<vm_id>& members = addresses[place];
+    return RendezvousOrder<vm_id>("catalog_relay",
+                                  {members.begin(), members.end()});
+  };
+  std::vector<data_centre_id> others;
+  for (const auto& [place, members] : addresses) {
+    if (place != data_centre) {
+      others.push_back(place);
+    }
+  }
+  // The key differs between data centres, so that one that loses its relays
+  // does not send all of its processes to the same place as another one.
+  others = RendezvousOrder(data_centre.value(), std::move(others));
+  others.resize(std::min(others.size(), kMaxRemoteRelays));
   std::vector<std::string> relays;
-  for (const vm_id& address : order) {
-    if (relays.size() < kMaxRelays) {
-      relays.push_back(address.value());
+  auto other = others.begin();
+  const auto add_remote = [&] {
+    if (other != others.end()) {
+      relays.push_back(order_of(*other++).front().value());
     }
+  };
+  std::vector<vm_id> own = order_of(data_centre);
+  own.resize(std::min(own.size(), kMaxRelays));
+  for (const vm_id& address : own) {
+    relays.push_back(address.value());
+    add_remote();
+  }
+  while (other != others.end()) {
+    add_remote();
   }
   return relays;
 }
--- a/src/node/relay_client.h
+++ b/src/node/relay_client.h
@@ -16,8 +16,8 @@
 
 namespace fireflyslip {
 
-/// \brief Polls the catalog relay of the data centre and reports when the
-/// process must watch the store itself.
+/// \brief Polls a catalog relay, preferably of the data centre, and reports
+/// when the process must watch the store itself.
 class relay_client {
  public:
   struct handlers {
@@ -31,6 +31,7 @@
   };
 
   relay_client(boost::asio::io_context& context,
+               data_centre_id data_centre,
                std::uint16_t relay_port,
                relay_policy policy,
                handlers callbacks,
@@ -58,6 +59,7 @@
   boost::asio::awaitable<result<http_response>> Read(std::string target);
 
   boost::asio::io_context& context_;
+  data_centre_id data_centre_;
   std::uint16_t relay_port_;
   handlers handlers_;
   http_client client_;
@@ -65,9 +67,10 @@
   core_driver<relay_selector> selector_;
 };
 
-/// \brief IP addresses of the relays of a data centre in order of preference:
-/// the VMs of a few model replicas. All processes that know the same upstreams
-/// compute the same order.
+/// \brief IP addresses of the relays for the processes of a data centre in
+/// order of preference: the VMs of a few of its model replicas, and between
+/// them the first relays of other data centres. All processes that know the
+/// same upstreams compute the same order.
 std::vector<std::string> SelectRelays(const upstream_map& upstreams,
                                       const data_centre_id& data_centre);
 
--- a/src/node/relay_message.cc
+++ b/src/node/relay_message.cc
@@ -1,5 +1,8 @@
 #include "node/relay_message.h"
 
+#include <boost/url/encode.hpp>
+#include <boost/url/pct_string_view.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -22,6 +25,7 @@
 constexpr std::string_view kUpstreamsParameter = "upstreams";
 constexpr std::string_view kVersionsParameter = "versions";
 constexpr std::string_view kHoldParameter = "hold_us";
+constexpr std::string_view kDataCentreParameter = "data_centre";
 constexpr std::string_view kEraSuffix = "_era";
 
 void AppendParameter(std::string& target,
@@ -160,6 +164,11 @@
   AppendPosition(target, kVersionsParameter, query.versions, query.states_eras);
   AppendParameter(target, kHoldParameter,
                   static_cast<std::uint64_t>(query.hold.count()));
+  if (!query.data_centre.empty()) {
+    target += "&" + std::string(kDataCentreParameter) + "=" +
+              boost::urls::encode(query.data_centre.value(),
+                                  boost::urls::unreserved_chars);
+  }
   return target;
 }
 
@@ -181,6 +190,12 @@
   constexpr std::uint64_t kMaxHold = 60'000'000;  // µs
   query.hold = duration(
       static_cast<duration::rep>(std::min(hold.value_or(0), kMaxHold)));
+  const auto data_centre = boost::urls::make_pct_string_view(
+      request.QueryParameter(kDataCentreParameter));
+  if (!data_centre) {
+    return std::nullopt;
+  }
+  query.data_centre = data_centre_id(data_centre->decode());
   return query;
 }
 
--- a/src/node/relay_message.h
+++ b/src/node/relay_message.h
@@ -23,6 +23,9 @@
   std::optional<store_position> upstreams;
   std::optional<store_position> versions;
   duration hold = {};  ///< Time to wait for changes.
+  /// Of the sender, for the list of relays; empty if that of the relay is
+  /// meant.
+  data_centre_id data_centre;
   /// Whether the query states eras; older senders know only revisions. An era
   /// that is not stated is 0.
   bool states_eras = true;
@@ -76,7 +79,7 @@
   std::optional<relayed_configuration> configuration;
   std::optional<upstream_changes> upstreams;
   std::optional<relayed_versions> versions;
-  /// IP addresses of the relays of the data centre in order of preference, for
+  /// IP addresses of the relays for the data centre in order of preference, for
   /// processes that do not follow the upstreams.
   std::vector<std::string> relays;
 
--- a/tests/catalog/relay_selector_test.cc
+++ b/tests/catalog/relay_selector_test.cc
@@ -150,10 +150,12 @@
 /// holds are answered after the hold time, or when the relay fails.
 class relay_fleet {
  public:
-  explicit relay_fleet(std::size_t processes) {
+  explicit relay_fleet(std::size_t processes,
+                       const std::vector<std::string>& relays = {"a", "b",
+                                                                 "c"}) {
     for (std::size_t i = 0; i < processes; ++i) {
       members_.emplace_back(relay_selector(relay_policy{}, random_source(i)));
-      Handle(i, relay_selector::candidates_changed{{"a", "b", "c"}});
+      Handle(i, relay_selector::candidates_changed{relays});
     }
   }
 
@@ -187,6 +189,8 @@
 
   /// Number of times that a process began to watch the store.
   std::size_t store_watches() const { return store_watches_; }
+  /// Longest time for which a process watched the store.
+  duration longest_store_watch() const { return longest_store_watch_; }
   std::size_t WatchingStore() const {
     std::size_t count = 0;
     for (const member& process : members_) {
@@ -202,6 +206,7 @@
     relay_selector core;
     std::optional<relay_selector::poll> poll;
     time_point poll_sent;
+    time_point store_watch_began;
   };
 
   void Handle(std::size_t index, const relay_selector::event& event) {
@@ -212,6 +217,10 @@
         process.poll_sent = now_;
       } else if (std::holds_alternative<relay_selector::watch_store>(action)) {
         ++store_watches_;
+        process.store_watch_began = now_;
+      } else {
+        longest_store_watch_ =
+            std::max(longest_store_watch_, now_ - process.store_watch_began);
       }
     }
   }
@@ -219,8 +228,22 @@
   time_point now_ = time_point(seconds(100));
   std::deque<member> members_;
   std::size_t store_watches_ = 0;
+  duration longest_store_watch_ = {};
 };
 
+// Guards against a data centre whose processes all read the configuration from
+// the store at each change, because its relays have no current view: the relay
+// of another data centre replaces them before the first of these reads.
+TEST_F(relay_selector_test, Fleet_OwnRelaysLost_RemoteRelayUsedWithin350Ms) {
+  relay_fleet fleet(61, {"own-1", "remote-1", "own-2", "remote-2", "own-3"});
+  const time_point start(seconds(100));
+  fleet.Run(start + seconds(40), [&](const std::string& relay, time_point now) {
+    return relay.starts_with("remote") || now < start + seconds(20);
+  });
+  EXPECT_EQ(fleet.WatchingStore(), 0U);
+  EXPECT_LE(fleet.longest_store_watch(), milliseconds(350));
+}
+
 // Guards against store calls that grow with processes times changes: replays a
 // minute in which the relay in use is lost for good after 20 s, at the sizes to
 // which the fleet grows. Each process may turn to the store once.
--- a/tests/node/catalog_relay_test.cc
+++ b/tests/node/catalog_relay_test.cc
@@ -76,9 +76,9 @@
     callbacks.on_watch_store = [&added](bool watch) {
       added.watches_store = watch;
     };
-    added.client =
-        std::make_unique<relay_client>(context_, port_, relay_policy{},
-                                       std::move(callbacks), followers_.size());
+    added.client = std::make_unique<relay_client>(
+        context_, settings_.data_centre, port_, relay_policy{},
+        std::move(callbacks), followers_.size());
     added.client->SetRelays({"127.0.0.1"});
     return added;
   }
@@ -270,10 +270,11 @@
   store_.PutConfiguration(9);
   ASSERT_TRUE(RunUntil([&] { return process.configuration == 9; }));
   std::optional<result<versioned_content>> content;
+  const versioned_content known;
   boost::asio::co_spawn(
       context_,
       [&]() -> boost::asio::awaitable<void> {
-        content = co_await process.client->ReadConfiguration({});
+        content = co_await process.client->ReadConfiguration(known);
       },
       boost::asio::detached);
   ASSERT_TRUE(RunUntil([&] { return content.has_value(); }));
@@ -339,6 +340,35 @@
   EXPECT_EQ(distinct.size(), relays.size());
 }
 
+// Guards against processes that turn to the store when the relays of their data
+// centre have no current view.
+TEST_F(catalog_relay_test, Relays_SeveralDataCentres_RemoteOnesInUseOffered) {
+  upstream_map upstreams;
+  for (const std::string place : {"akl", "chc", "wlg"}) {
+    for (int i = 0; i < 4; ++i) {
+      upstream_entry entry;
+      entry.id = upstream_id(place + std::to_string(i));
+      entry.address = "10.0." + std::to_string(place.front()) + ".";
+      entry.address += std::to_string(i) + ":80";
+      entry.data_centre = data_centre_id(place);
+      entry.has_engine = true;
+      upstreams.emplace(entry.id, entry);
+    }
+  }
+  const auto relays = SelectRelays(upstreams, data_centre_id("akl"));
+  ASSERT_EQ(relays.size(), 5U);
+  const std::string own = "10.0." + std::to_string('a') + ".";
+  for (const std::size_t index : {0U, 2U, 4U}) {
+    EXPECT_TRUE(relays[index].starts_with(own));
+  }
+  const std::set<std::string> remote{relays[1], relays[3]};
+  EXPECT_EQ(remote,
+            (std::set{SelectRelays(upstreams, data_centre_id("chc")).front(),
+                      SelectRelays(upstreams, data_centre_id("wlg")).front()}));
+  const auto without_own = SelectRelays(upstreams, data_centre_id("dud"));
+  EXPECT_EQ(without_own.size(), 2U);
+}
+
 // Guards against polls that are held after a restore, because the process knows
 // a higher revision of the time before it.
 TEST_F(catalog_relay_test, StoreRestored_PollFromHigherRevision_Answered) {
@@ -370,10 +400,11 @@
   ASSERT_TRUE(RunUntil([&] { return process.configuration == 1; }));
   RestoreStore(process);
   std::optional<result<versioned_content>> content;
+  const versioned_content known;
   boost::asio::co_spawn(
       context_,
       [&]() -> boost::asio::awaitable<void> {
-        content = co_await process.client->ReadConfiguration({});
+        content = co_await process.client->ReadConfiguration(known);
       },
       boost::asio::detached);
   ASSERT_TRUE(RunUntil([&] { return content.has_value(); }));
--- a/tests/node/relay_message_test.cc
+++ b/tests/node/relay_message_test.cc
@@ -44,7 +44,7 @@
 
 TEST_F(relay_message_test, Query_Formatted_ParsesEqual) {
   const relay_query query{store_position{2, 5}, std::nullopt, store_position{},
-                          milliseconds(800)};
+                          milliseconds(800), data_centre_id("a b&c")};
   EXPECT_EQ(ParseRelayTarget(RelayTarget(query)), query);
 }
 
