Watch the store when all relays stay without a current view after a start

A process that has just learned of relays waits for them, because they may be starting, too. A relay that responds without a current view is polled again after half a second, so there is always one left to poll: while the store refuses the relays but not the process, it waits without end and knows nothing.

The wait now ends after 5 s. The new test fails without the change: the store is not watched at all.

--- a/include/fireflyslip/catalog/relay_selector.h
+++ b/include/fireflyslip/catalog/relay_selector.h
@@ -31,6 +31,9 @@
   duration response_time = milliseconds(200);
   /// Time without a fresh response after which the store is watched directly.
   duration max_silence = milliseconds(1200);
+  /// The same for a process that has just learned of relays, which may be
+  /// starting, too.
+  duration max_start = seconds(5);
   /// Delay before the next poll of a relay whose view is stale.
   duration stale_delay = milliseconds(500);
   /// Delay before the next poll of a relay that failed; doubles up to the
@@ -104,7 +107,7 @@
 
   candidate* Find(const std::string& address);
   const candidate* FirstUnblocked(time_point now) const;
-  void SetCandidates(const std::vector<std::string>& addresses);
+  void SetCandidates(const std::vector<std::string>& addresses, time_point now);
   void Record(const polled& result, time_point now);
   void Block(candidate& relay, relay_poll_status status, time_point now);
   /// \brief Hold time of a poll of the relay in use.
@@ -116,6 +119,7 @@
   std::vector<candidate> candidates_;
   std::string current_;  // relay in use; empty if it failed
   std::optional<time_point> last_fresh_;
+  std::optional<time_point> first_candidates_;  // when there were any
   bool polling_ = false;
   bool watching_store_ = false;
 };
--- a/src/catalog/relay_selector.cc
+++ b/src/catalog/relay_selector.cc
@@ -11,7 +11,7 @@
   std::visit(overloaded{
                  [](const tick&) {},
                  [&](const candidates_changed& change) {
-                   SetCandidates(change.addresses);
+                   SetCandidates(change.addresses, now);
                  },
                  [&](const polled& result) {
                    polling_ = false;
@@ -42,6 +42,9 @@
   const auto add = [&](time_point deadline) {
     earliest = earliest ? std::min(*earliest, deadline) : deadline;
   };
+  if (!watching_store_ && !last_fresh_ && first_candidates_) {
+    add(*first_candidates_ + policy_.max_start);
+  }
   if (!watching_store_ && last_fresh_) {
     constexpr duration kTick{1};
     add(*last_fresh_ + policy_.max_silence + kTick);
@@ -69,7 +72,11 @@
   return found == candidates_.end() ? nullptr : &*found;
 }
 
-void relay_selector::SetCandidates(const std::vector<std::string>& addresses) {
+void relay_selector::SetCandidates(const std::vector<std::string>& addresses,
+                                   time_point now) {
+  if (!addresses.empty() && !first_candidates_) {
+    first_candidates_ = now;
+  }
   std::vector<candidate> changed;
   changed.reserve(addresses.size());
   for (const std::string& address : addresses) {
@@ -140,8 +147,8 @@
     return true;
   }
   if (!last_fresh_) {
-    // A process that starts waits for the relays, which may be starting, too.
-    return !polling_ && FirstUnblocked(now) == nullptr;
+    return (!polling_ && FirstUnblocked(now) == nullptr) ||
+           now - *first_candidates_ >= policy_.max_start;
   }
   return !IsServed(now);
 }
--- a/tests/catalog/relay_selector_test.cc
+++ b/tests/catalog/relay_selector_test.cc
@@ -66,6 +66,19 @@
   EXPECT_EQ(store_watches_, 1);
 }
 
+// Guards against a process that starts while the store refuses the relays, and
+// waits for them although the store responds to itself.
+TEST_F(relay_selector_test, Start_AllRelaysStale_StoreWatched) {
+  Send(selector::candidates_changed{{"a", "b", "c"}});
+  const time_point end = now_ + relay_policy{}.max_start;
+  while (now_ < end) {
+    EXPECT_EQ(store_watches_, 0);
+    now_ += relay_policy{}.hold;
+    Answer(relay_poll_status::kStale);
+  }
+  EXPECT_EQ(store_watches_, 1);
+}
+
 // Guards against a process that polls without pause and never watches the
 // store, because two upstreams have the same address.
 TEST_F(relay_selector_test, Candidates_SameAddressTwice_BlockedAsOne) {
