Keep the start of the whole fleet from filling the link between regions

Gateways beside the store have the configuration after 1 s; none of those elsewhere has one after 19 s. All of their reads of the store, also of the tiny versions, time out after 0.9 s.

Cause: each of 31 to 53 agents of a data centre reads the whole configuration, 394 KB, from the store, to learn its model and the address of the origin, and each process lists the upstreams. That is 16.7 MB for 31 agents, on a link that carries 4.25 MB a second. Reads are given up after 0.9 to 1 s and begin again 0.2 s later, so the link sends what nobody waits for any more.

- Agents find the relays first, and read the services, without routes and keys, from one of them; from the store only if there is none after 4 s.
- The timeout and the delay of a list double with each failure.
- A gateway that cannot read from the relay that announces a version asks the store after 1 to 2 s, not at once.
- A relay sends whole contents on half of its link, one after the other.

--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -46,7 +46,9 @@
 /// that may be old is cheap.
 constexpr int kMaxRelaySearches = 8;
 constexpr milliseconds kRelaySearchInterval{800};
-constexpr milliseconds kRelaySearchTimeout{900};
+/// The store is asked for the configuration if the relay in use announces one,
+/// but does not provide it for this time or up to twice as long.
+constexpr milliseconds kConfigurationFallback{1000};
 constexpr milliseconds kInitialReadBackoff{50};
 constexpr milliseconds kMaxReadBackoff{600};
 
@@ -113,15 +115,21 @@
 awaitable<void> catalog_feed::FindRelays() {
   const std::string kind = platform::kUpstreamKind;
   std::vector<std::string> relays;
+  read_backoff backoff;
   for (int i = 0; i < kMaxRelaySearches && relays.empty(); ++i) {
-    const auto listed = co_await store_.List(kind, true, kRelaySearchTimeout);
+    const auto listed = co_await store_.List(kind, true, backoff.timeout());
     upstream_map upstreams;
-    if (IsOk(listed)) {
-      for (const platform::store_object& object : ValueOf(listed).objects) {
-        auto entry = platform::DecodeUpstream(object.name, object.content);
-        if (entry) {
-          upstreams.emplace(entry->id, *entry);
-        }
+    if (!IsOk(listed)) {
+      LogLine("event=relay_search_failed reason=\"" + ErrorOf(listed).detail +
+              "\"");
+      const duration delay = backoff.RecordFailure(random_);
+      co_await Sleep(delay);
+      continue;
+    }
+    for (const platform::store_object& object : ValueOf(listed).objects) {
+      auto entry = platform::DecodeUpstream(object.name, object.content);
+      if (entry) {
+        upstreams.emplace(entry->id, *entry);
       }
     }
     relays = SelectRelays(upstreams, data_centre_);
@@ -138,9 +146,14 @@
 awaitable<void> catalog_feed::ReadConfiguration() {
   reading_configuration_ = true;
   duration backoff = kInitialReadBackoff;
+  const duration fallback =
+      FromSeconds(ToSeconds(kConfigurationFallback) * (1 + random_.Fraction()));
+  time_point last_read = MonotonicNow();
   while (!deployment_ || deployment_->version < announced_configuration_) {
-    const bool read = co_await ReadConfigurationOnce();
+    const bool may_ask_store = MonotonicNow() - last_read > fallback;
+    const bool read = co_await ReadConfigurationOnce(may_ask_store);
     if (read) {
+      last_read = MonotonicNow();
       backoff = kInitialReadBackoff;
       co_await Sleep(kConfigurationReadInterval);
     } else {
@@ -151,19 +164,23 @@
   reading_configuration_ = false;
 }
 
-awaitable<bool> catalog_feed::ReadConfigurationOnce() {
+awaitable<bool> catalog_feed::ReadConfigurationOnce(bool may_ask_store) {
   const time_point sent = MonotonicNow();
   auto read = co_await relay_.ReadConfiguration(configuration_);
   if (IsOk(read)) {
+    versioned_content changed = ValueOf(std::move(read));
     LogLine("event=configuration_read source=relay version=" +
-            std::to_string(ValueOf(read).id.version) + " took_ms=" +
+            std::to_string(changed.id.version) + " took_ms=" +
             std::to_string((MonotonicNow() - sent).count() / 1000));
-    const nlohmann::json content = platform::ParseJson(ValueOf(read).text);
-    ApplyConfiguration(content, std::move(ValueOf(read).text));
+    const nlohmann::json content = platform::ParseJson(changed.text);
+    ApplyConfiguration(content, std::move(changed.text));
     if (deployment_ && deployment_->version >= announced_configuration_) {
       co_return true;
     }
   }
+  if (!may_ask_store) {
+    co_return false;
+  }
   const bool listed = co_await configuration_watch_.Refresh();
   co_return listed;
 }
--- a/src/gateway/catalog_feed.h
+++ b/src/gateway/catalog_feed.h
@@ -60,7 +60,8 @@
   /// \brief Reads the configuration until it has at least the announced
   /// version.
   boost::asio::awaitable<void> ReadConfiguration();
-  boost::asio::awaitable<bool> ReadConfigurationOnce();
+  /// \param may_ask_store whether the store is read if the relay fails.
+  boost::asio::awaitable<bool> ReadConfigurationOnce(bool may_ask_store);
   boost::asio::awaitable<void> Sleep(duration length);
   void SetFollowingStore(bool following);
   boost::asio::awaitable<void> FollowConfigurationLater();
--- a/src/node/catalog_relay.cc
+++ b/src/node/catalog_relay.cc
@@ -20,6 +20,7 @@
 using boost::asio::awaitable;
 
 constexpr int kStatusNotFound = 404;
+constexpr int kStatusBusy = 503;
 /// Fraction of the time in which a draining upstream must be known to all that
 /// a watch of the upstreams may last.
 constexpr double kUpstreamWatchFraction = 0.4;
@@ -32,6 +33,12 @@
 constexpr double kUpstreamBatchFraction = 0.15;
 /// Time that a response of the store may take; a slow store takes up to 0.3 s.
 constexpr milliseconds kResponseTime{400};
+constexpr double kBytesPerMegabit = 125'000;
+/// Fraction of the link of the VM for whole configurations, which all processes
+/// of a data centre read when they start.
+constexpr double kContentLinkFraction = 0.5;
+/// Longest wait for the link, within the timeout of the reader.
+constexpr milliseconds kMaxLinkWait{2500};
 /// The store is watched for this long after a poll.
 constexpr seconds kIdleTimeout{5};
 constexpr seconds kIdleCheckInterval{1};
@@ -82,6 +89,8 @@
                      {platform::kVersionKind, durations_.versions, duration(0)},
                      VersionHandlers(),
                      seed + 3),
+      content_pacer_(settings.link_mbps * kBytesPerMegabit *
+                     kContentLinkFraction),
       version_age_(MonotonicNow(), settings.InitialVersionAge()) {
   timers_.SubscribePeriodic(change_age::kMaxObservationGap / 2,
                             [this] { version_age_.Observe(MonotonicNow()); });
@@ -130,6 +139,7 @@
     configuration_.Set(*version, object.content.dump());
     compressed_configuration_.clear();
     encoded_configuration_.clear();
+    compressed_services_.clear();
     configuration_position_.revision = 0;  // set when the response is complete
   }
 }
@@ -222,6 +232,10 @@
     co_await ServeConfigurationChanges(request.target, writer);
     co_return;
   }
+  if (request.path() == kServicesPath) {
+    co_await ServeServices(writer);
+    co_return;
+  }
   const time_point received = MonotonicNow();
   std::optional<relay_query> query = ParseRelayTarget(request.target);
   http_response response;
@@ -267,11 +281,45 @@
       encoded_configuration_ =
           EncodeConfigurationChanges(configuration_.Since({}));
     }
-    response.body = encoded_configuration_;
+    const bool has_link = co_await AwaitLink(encoded_configuration_.size());
+    if (has_link) {
+      response.body = encoded_configuration_;
+    } else {
+      response.status = kStatusBusy;
+    }
   }
   co_await writer.Send(std::move(response));
 }
 
+awaitable<void> catalog_relay::ServeServices(response_writer& writer) {
+  http_response response;
+  if (configuration_.newest().id.version == 0) {
+    response.status = kStatusNotFound;
+  } else {
+    if (compressed_services_.empty()) {
+      compressed_services_ =
+          Compress(platform::SelectServices(
+                       platform::ParseJson(configuration_.newest().text))
+                       .dump());
+    }
+    response.body = compressed_services_;
+  }
+  co_await writer.Send(std::move(response));
+}
+
+awaitable<bool> catalog_relay::AwaitLink(std::size_t bytes) {
+  const time_point now = MonotonicNow();
+  const auto begin = content_pacer_.Reserve(bytes, now, kMaxLinkWait);
+  if (!begin) {
+    co_return false;
+  }
+  boost::asio::steady_timer timer(context_, *begin - now);
+  boost::system::error_code ignored;
+  co_await timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  co_return true;
+}
+
 awaitable<void> catalog_relay::WaitForChanges(const relay_query& query,
                                               time_point deadline) {
   const bool was_fresh = FreshUntil(query, MonotonicNow()).has_value();
--- a/src/node/catalog_relay.h
+++ b/src/node/catalog_relay.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -15,6 +16,7 @@
 #include "fireflyslip/catalog.h"
 #include "fireflyslip/http.h"
 #include "fireflyslip/runtime.h"
+#include "fireflyslip/staging/link_pacer.h"
 #include "node/kind_watch.h"
 #include "node/node_settings.h"
 #include "node/relay_message.h"
@@ -62,6 +64,10 @@
   boost::asio::awaitable<void> ServeConfigurationChanges(
       std::string_view target,
       response_writer& writer);
+  boost::asio::awaitable<void> ServeServices(response_writer& writer);
+  /// \brief Waits until the link is free for a whole content; false if that
+  /// takes too long.
+  boost::asio::awaitable<bool> AwaitLink(std::size_t bytes);
   boost::asio::awaitable<void> WaitForChanges(const relay_query& query,
                                               time_point deadline);
   void Activate();
@@ -100,6 +106,8 @@
   content_history configuration_;          // as JSON
   std::string compressed_configuration_;   // empty until it is asked for
   std::string encoded_configuration_;      // the same as a change
+  std::string compressed_services_;        // without routes and keys
+  link_pacer content_pacer_;               // of whole contents
   std::optional<time_point> upstreams_confirmed_;
   std::vector<upstream_change> pending_changes_;  // of a response in progress
   std::optional<std::vector<upstream_entry>> pending_list_;
--- a/src/node/configuration_message.h
+++ b/src/node/configuration_message.h
@@ -16,8 +16,11 @@
 /// configuration, compressed, to processes that do not ask for changes.
 inline constexpr char kConfigurationPath[] = "/configuration";
 /// \brief Path at which a relay provides the changes of the configuration after
-/// a version.
+/// a version; 503 if its link is busy with whole contents.
 inline constexpr char kConfigurationChangesPath[] = "/configuration/changes";
+/// \brief Path at which a relay provides the newest configuration without
+/// routes and keys, compressed.
+inline constexpr char kServicesPath[] = "/configuration/services";
 
 /// \brief Longest content of a configuration.
 inline constexpr std::size_t kMaxConfigurationBytes = 64UL << 20;
--- a/src/node/kind_watch.cc
+++ b/src/node/kind_watch.cc
@@ -72,12 +72,14 @@
   const time_point sent = MonotonicNow();
   const std::uint64_t sent_era = position_.era();
   const auto listed =
-      co_await store_.List(settings_.kind, false, kRequestTimeout);
+      co_await store_.List(settings_.kind, false, list_backoff_.timeout());
   position_.ObserveEra(store_.newest_era());
   if (!IsOk(listed)) {
+    list_backoff_.RecordFailure(random_);
     RecordFailure(ErrorOf(listed), sent);
     co_return false;
   }
+  list_backoff_.RecordSuccess();
   const store_position before = position_.known();
   const store_position at = ValueOf(listed).position;
   const watch_position::outcome outcome = position_.ReceiveList(sent_era, at);
--- a/src/node/kind_watch.h
+++ b/src/node/kind_watch.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "fireflyslip/catalog/read_backoff.h"
 #include "fireflyslip/catalog/store_position.h"
 #include "fireflyslip/catalog/watch_freshness.h"
 #include "fireflyslip/core/random_source.h"
@@ -88,6 +89,7 @@
   settings settings_;
   handlers handlers_;
   random_source random_;
+  read_backoff list_backoff_;  // only its timeout is used
   watch_freshness freshness_;
   boost::asio::steady_timer following_changed_;
   bool following_ = false;
--- a/src/node/relay_client.cc
+++ b/src/node/relay_client.cc
@@ -8,7 +8,9 @@
 #include <utility>
 
 #include "fireflyslip/core/rendezvous.h"
+#include "node/compression.h"
 #include "node/configuration_message.h"
+#include "platform/json_access.h"
 
 namespace fireflyslip {
 namespace {
@@ -20,8 +22,10 @@
 constexpr milliseconds kConnectTimeout{300};
 /// Timeout of a poll in addition to its hold time.
 constexpr milliseconds kAnswerTimeout{400};
-/// Timeout of the head and of each part of the content of a configuration.
+/// Timeout of the head and of each part of a content.
 constexpr milliseconds kContentTimeout{800};
+/// Timeout of the head of a whole configuration, which waits for the link.
+constexpr seconds kWholeContentTimeout{3};
 /// If these fail, the store is watched; more of them would only start more
 /// watches.
 constexpr std::size_t kMaxRelays = 3;
@@ -98,7 +102,8 @@
   selector_.Handle(polled);
 }
 
-awaitable<result<http_response>> relay_client::Read(std::string target) {
+awaitable<result<http_response>> relay_client::Read(std::string target,
+                                                    duration timeout) {
   const std::string relay = selector_.core().current();
   if (relay.empty()) {
     co_return error{error_kind::kNoUpstream, "no relay is in use"};
@@ -106,8 +111,8 @@
   http_request request;
   request.target = std::move(target);
   const http_endpoint endpoint{relay, relay_port_};
-  co_return co_await client_.Request(endpoint, std::move(request),
-                                     kContentTimeout, kContentTimeout);
+  co_return co_await client_.Request(endpoint, std::move(request), timeout,
+                                     kContentTimeout);
 }
 
 awaitable<result<upstream_changes>> relay_client::ReadUpstreams(
@@ -115,7 +120,7 @@
   relay_query query;
   query.upstreams = position;
   std::string target = RelayTarget(query);
-  const auto response = co_await Read(std::move(target));
+  const auto response = co_await Read(std::move(target), kContentTimeout);
   if (!IsOk(response)) {
     co_return ErrorOf(response);
   }
@@ -132,7 +137,9 @@
 awaitable<result<versioned_content>> relay_client::ReadConfiguration(
     const versioned_content& known) {
   std::string target = ConfigurationChangesTarget(known.id);
-  const auto response = co_await Read(std::move(target));
+  const auto response = co_await Read(
+      std::move(target), known.id.version > 0 ? duration(kContentTimeout)
+                                              : duration(kWholeContentTimeout));
   if (!IsOk(response)) {
     co_return ErrorOf(response);
   }
@@ -147,6 +154,25 @@
   co_return *std::move(changed);
 }
 
+awaitable<result<nlohmann::json>> relay_client::ReadServices() {
+  std::string target = kServicesPath;
+  const auto response = co_await Read(std::move(target), kContentTimeout);
+  if (!IsOk(response)) {
+    co_return ErrorOf(response);
+  }
+  const auto text =
+      ValueOf(response).status == kStatusOk
+          ? Decompress(ValueOf(response).body, kMaxConfigurationBytes)
+          : std::nullopt;
+  nlohmann::json content =
+      text ? platform::ParseJson(*text)
+           : nlohmann::json(nlohmann::json::value_t::discarded);
+  if (content.is_discarded()) {
+    co_return error{error_kind::kCorruptData, "relay has no configuration"};
+  }
+  co_return content;
+}
+
 std::vector<std::string> SelectRelays(const upstream_map& upstreams,
                                       const data_centre_id& data_centre) {
   std::map<data_centre_id, std::set<vm_id>> addresses;
--- a/src/node/relay_client.h
+++ b/src/node/relay_client.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -51,12 +52,16 @@
   /// the changes after the one that is known are sent.
   boost::asio::awaitable<result<versioned_content>> ReadConfiguration(
       const versioned_content& known);
+  /// \brief Reads the services of the newest configuration, which has no routes
+  /// and keys, from the relay in use.
+  boost::asio::awaitable<result<nlohmann::json>> ReadServices();
 
  private:
   void Apply(const relay_selector::action& action);
   boost::asio::awaitable<void> Poll(relay_selector::poll order);
   /// \brief Sends a GET request to the relay in use.
-  boost::asio::awaitable<result<http_response>> Read(std::string target);
+  boost::asio::awaitable<result<http_response>> Read(std::string target,
+                                                     duration timeout);
 
   boost::asio::io_context& context_;
   data_centre_id data_centre_;
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -28,7 +28,9 @@
 /// Versions are published rarely, and loading one takes seconds.
 constexpr milliseconds kRelayHold{1600};
 constexpr milliseconds kRelaySilence{2400};
-constexpr milliseconds kStoreTimeout{1000};
+/// Time after the start for which an agent waits for a relay before it reads
+/// the configuration from the store.
+constexpr seconds kRelayWait{4};
 constexpr milliseconds kRetryDelay{200};
 constexpr milliseconds kManifestTimeout{600};
 constexpr milliseconds kTargetCheckInterval{50};
@@ -109,6 +111,8 @@
                     RelayPolicy(),
                     RelayHandlers(),
                     seed + 2),
+      random_(seed + 4),
+      started_at_(MonotonicNow()),
       peer_refresh_({}, random_source(seed + 3)),
       core_(weight_stager(StagingPolicy(settings),
                           {settings.address, settings.region, false}),
@@ -227,44 +231,42 @@
 
 awaitable<void> stager::Run() {
   for (;;) {
+    co_await RefreshPeers(true);
     const bool known = co_await ReadConfiguration();
     if (known) {
       break;
     }
     co_await Sleep(kRetryDelay);
   }
-  co_await RefreshPeers(true);
+  LogLine("event=services_known source=" +
+          std::string(relay_client_.HasRelay() ? "relay" : "store"));
+  SetPeers();  // now the model and the region of the origin are known
   co_await FollowTarget();
 }
 
 awaitable<bool> stager::ReadConfiguration() {
-  const std::string kind = platform::kConfigurationKind;
-  const auto listed = co_await store_.List(kind, true, kStoreTimeout);
-  if (!IsOk(listed)) {
+  if (relay_client_.HasRelay()) {
+    const auto services = co_await relay_client_.ReadServices();
+    co_return IsOk(services) && ApplyConfiguration(ValueOf(services));
+  }
+  if (MonotonicNow() - started_at_ < kRelayWait) {
     co_return false;
   }
-  for (const platform::store_object& object : ValueOf(listed).objects) {
-    const auto decoded = platform::DecodeDeployment(object.content);
-    if (!IsOk(decoded)) {
-      continue;
-    }
-    const deployment& catalog = ValueOf(decoded);
-    const service_profile* service = catalog.FindService(settings_.service);
-    if (service == nullptr || !service->engine ||
-        service->engine->models.empty()) {
-      continue;
-    }
-    for (const auto& [name, other] : catalog.services) {
-      const auto endpoint = other.origin
-                                ? ParseHttpEndpoint(other.origin->address)
-                                : std::nullopt;
-      if (endpoint) {
-        model_ = service->engine->models.front();
-        origin_region_ = settings_.RegionOf(other.origin->data_centre);
-        origin_link_mbps_ = other.origin->link_mbps;
-        chunk_bytes_ = service->engine->chunk_bytes;
-        origin_ =
-            std::make_unique<platform::origin_client>(context_, *endpoint);
+  const bool known = co_await ReadStoredConfiguration();
+  if (!known) {
+    const duration delay = configuration_backoff_.RecordFailure(random_);
+    co_await Sleep(delay);
+  }
+  co_return known;
+}
+
+awaitable<bool> stager::ReadStoredConfiguration() {
+  const std::string kind = platform::kConfigurationKind;
+  const auto listed =
+      co_await store_.List(kind, true, configuration_backoff_.timeout());
+  if (IsOk(listed)) {
+    for (const platform::store_object& object : ValueOf(listed).objects) {
+      if (ApplyConfiguration(object.content)) {
         co_return true;
       }
     }
@@ -272,6 +274,32 @@
   co_return false;
 }
 
+bool stager::ApplyConfiguration(const nlohmann::json& content) {
+  const auto decoded = platform::DecodeDeployment(content);
+  if (!IsOk(decoded)) {
+    return false;
+  }
+  const deployment& catalog = ValueOf(decoded);
+  const service_profile* service = catalog.FindService(settings_.service);
+  if (service == nullptr || !service->engine ||
+      service->engine->models.empty()) {
+    return false;
+  }
+  for (const auto& [name, other] : catalog.services) {
+    const auto endpoint =
+        other.origin ? ParseHttpEndpoint(other.origin->address) : std::nullopt;
+    if (endpoint) {
+      model_ = service->engine->models.front();
+      origin_region_ = settings_.RegionOf(other.origin->data_centre);
+      origin_link_mbps_ = other.origin->link_mbps;
+      chunk_bytes_ = service->engine->chunk_bytes;
+      origin_ = std::make_unique<platform::origin_client>(context_, *endpoint);
+      return true;
+    }
+  }
+  return false;
+}
+
 duration stager::OriginChunkTime() const {
   constexpr double kBitsPerMegabit = 1e6;
   constexpr double kBitsPerByte = 8;
@@ -401,14 +429,16 @@
 awaitable<void> stager::ListPeers() {
   LogLine("event=peers_listed");
   const std::string kind = platform::kUpstreamKind;
-  const auto listed = co_await store_.List(kind, true, kStoreTimeout);
+  const auto listed = co_await store_.List(kind, true, list_backoff_.timeout());
   if (!IsOk(listed)) {
+    list_backoff_.RecordFailure(random_);
     if (peers_.empty()) {
       peer_refresh_.RecordNoPeers(MonotonicNow());
       relay_client_.SetRelays({});  // the store is watched until there are some
     }
     co_return;
   }
+  list_backoff_.RecordSuccess();
   upstreams_.clear();
   for (const platform::store_object& object : ValueOf(listed).objects) {
     if (const auto entry =
--- a/src/stager/stager.h
+++ b/src/stager/stager.h
@@ -50,6 +50,9 @@
   /// `FollowTarget()`.
   boost::asio::awaitable<void> Run();
   boost::asio::awaitable<bool> ReadConfiguration();
+  boost::asio::awaitable<bool> ReadStoredConfiguration();
+  /// \brief Takes model and origin from a configuration; false if it has none.
+  bool ApplyConfiguration(const nlohmann::json& content);
   boost::asio::awaitable<void> FollowTarget();
   /// \brief Time that the origin's link takes for one chunk; zero if unknown.
   duration OriginChunkTime() const;
@@ -91,6 +94,10 @@
   kind_watch version_watch_;
   catalog_relay relay_;
   relay_client relay_client_;
+  random_source random_;
+  const time_point started_at_;
+  read_backoff configuration_backoff_;
+  read_backoff list_backoff_;
   store_position versions_position_;
   peer_refresh peer_refresh_;
   upstream_map upstreams_;
--- a/tests/gateway/configuration_fan_out_test.cc
+++ b/tests/gateway/configuration_fan_out_test.cc
@@ -102,6 +102,7 @@
       : store_(context_), gateways_store_(context_), proxy_(context_) {
     settings_.platform = store_.endpoint();
     settings_.data_centre = data_centre_id("akl");
+    settings_.link_mbps = kRelayLinkBytesPerSecond * 8 / 1e6;
     settings_.first_internal_port =
         static_cast<std::uint16_t>(proxy_.port() - 3);
     PutConfiguration(1, "singer");
@@ -194,5 +195,25 @@
                       kReadIntervalSeconds);
 }
 
+// Guards against a start of all gateways in which the whole configuration, sent
+// to all of them at once, fills the link of the relay, so that polls time out.
+TEST_F(configuration_fan_out_test, AllGateways_Start_ContentPacedOnHalfOfLink) {
+  constexpr std::size_t kFirstBytes = 20'000;  // less than one content
+  const time_point limit = MonotonicNow() + seconds(60);
+  while (proxy_.bytes() < kFirstBytes && MonotonicNow() < limit) {
+    context_.run_for(std::chrono::milliseconds(1));
+  }
+  const time_point begin = MonotonicNow();
+  ASSERT_TRUE(RunUntilInForce(1));
+  const double taken = ToSeconds(MonotonicNow() - begin);
+  const auto sent = static_cast<double>(proxy_.bytes());
+  RecordProperty("bytes", std::to_string(sent));
+  constexpr double kContentShare = 0.5;
+  constexpr double kLastContent = 45e3;  // is sent after its wait
+  constexpr double kPolls = 20e3;
+  EXPECT_LE(sent, kRelayLinkBytesPerSecond * kContentShare * taken +
+                      kLastContent + kPolls);
+}
+
 }  // namespace
 }  // namespace fireflyslip
--- a/tests/stager/stager_test.cc
+++ b/tests/stager/stager_test.cc
@@ -64,6 +64,7 @@
       response.body =
           R"({"active":0,"queued":0,"modelList":[{"name":"m","version":1}]})";
     } else if (path.starts_with(platform::kManifestPath)) {
+      ++manifests_;
       const std::string name(64, '0');
       response.body =
           nlohmann::json{{"version", 2}, {"digestList", {name, name}}}.dump();
@@ -106,6 +107,7 @@
   http_endpoint replica_endpoint_;
   std::unique_ptr<http_server> replica_;
   node_settings settings_;
+  std::size_t manifests_ = 0;  // requests
   metrics counters_;
   std::unique_ptr<stager> stager_;
 };
@@ -122,5 +124,16 @@
   EXPECT_LE(lists(), before + 1);
 }
 
+// Guards against a start of the whole fleet in which each agent reads the
+// configuration with all routes from the store, over the link between regions.
+TEST_F(stager_test, Agent_Starts_ConfigurationReadFromRelay) {
+  ASSERT_TRUE(IsOk(stager_->Start()));
+  const auto lists = [&] { return store_.lists(platform::kConfigurationKind); };
+  ASSERT_TRUE(RunUntil([&] { return lists() >= 1; }));
+  // The manifest is asked for once the services are known.
+  ASSERT_TRUE(RunUntil([&] { return manifests_ > 0; }));
+  EXPECT_EQ(lists(), 1U);
+}
+
 }  // namespace
 }  // namespace fireflyslip
