Answer whole reads of a configuration that changes while they wait

A relay encodes the whole configuration once, and a read waits for its turn on the link. A change during the wait discarded the encoded content, so the read was answered with nothing, and the gateway, which has just started, asked again. Found by reading; the new test fails without the change.

--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -152,8 +152,10 @@
   while (!deployment_ || deployment_->version < announced_configuration_) {
     const bool may_ask_store = MonotonicNow() - last_read > fallback;
     const bool read = co_await ReadConfigurationOnce(may_ask_store);
-    if (read) {
+    if (read || may_ask_store) {
       last_read = MonotonicNow();
+    }
+    if (read) {
       backoff = kInitialReadBackoff;
       co_await Sleep(kConfigurationReadInterval);
     } else {
--- a/src/node/catalog_relay.cc
+++ b/src/node/catalog_relay.cc
@@ -281,9 +281,11 @@
       encoded_configuration_ =
           EncodeConfigurationChanges(configuration_.Since({}));
     }
-    const bool has_link = co_await AwaitLink(encoded_configuration_.size());
+    // The configuration may change while the link is awaited.
+    std::string body = encoded_configuration_;
+    const bool has_link = co_await AwaitLink(body.size());
     if (has_link) {
-      response.body = encoded_configuration_;
+      response.body = std::move(body);
     } else {
       response.status = kStatusBusy;
     }
--- a/tests/node/catalog_relay_test.cc
+++ b/tests/node/catalog_relay_test.cc
@@ -39,6 +39,8 @@
     settings_.platform = store_.endpoint();
     settings_.data_centre = data_centre_id("akl");
     settings_.rollout_timeout = seconds(2);
+    // A whole configuration of some 150 bytes takes about half a second.
+    settings_.link_mbps = 0.005;
     store_.PutConfiguration(1);
     store_.PutVersion(1);
     store_.PutUpstream("i-1", "127.0.0.1:80");
@@ -284,6 +286,30 @@
   EXPECT_EQ(nlohmann::json::parse(read.text)["version"], 9);
 }
 
+// Guards against an empty answer to a process that starts while the
+// configuration changes: its read waits for the link of the relay.
+TEST_F(catalog_relay_test, Configuration_ChangesDuringRead_ReadSucceeds) {
+  follower& process = AddFollower();
+  ASSERT_TRUE(RunUntil([&] { return process.configuration == 1; }));
+  const versioned_content known;
+  std::vector<result<versioned_content>> contents;
+  for (int i = 0; i < 2; ++i) {
+    boost::asio::co_spawn(
+        context_,
+        [&]() -> boost::asio::awaitable<void> {
+          auto content = co_await process.client->ReadConfiguration(known);
+          contents.push_back(std::move(content));
+        },
+        boost::asio::detached);
+  }
+  ASSERT_TRUE(RunUntil([&] { return !contents.empty(); }));
+  store_.PutConfiguration(2);
+  ASSERT_TRUE(RunUntil([&] { return contents.size() == 2; }));
+  EXPECT_TRUE(IsOk(contents[0]));
+  EXPECT_TRUE(IsOk(contents[1]));
+  EXPECT_EQ(process.configuration, 2U);
+}
+
 // Guards against an entry of another writer that ends a relay, or that hides
 // the other upstreams and their changes from its followers.
 TEST_F(catalog_relay_test, Upstreams_OddEntries_FollowersKnowTheOthers) {
