--- a/review/harness/model_replica.cc
+++ b/review/harness/model_replica.cc
@@ -25,7 +25,7 @@
       {
         const std::lock_guard lock(mutex_);
         Advance();
-        if (on_) {
+        if (on_ && !frozen_) {
           ++heartbeats_;
           Register();
         }
@@ -120,7 +120,14 @@
   }
 }
 
+void model_replica::AwaitThaw() const {
+  while (frozen_) {
+    Sleep(0.002);
+  }
+}
+
 bool model_replica::Serve(connection& caller, const request& received) {
+  AwaitThaw();
   if (received.path() == "/fireflyslip/report") {
     return ServeReport(caller);
   }
@@ -260,6 +267,7 @@
   bool open = caller.Write(head);
   for (int i = 1; open && i <= options_.events; ++i) {
     Sleep(options_.event_time);
+    AwaitThaw();
     const std::string event = "id: " + std::to_string(i) + "\ndata: token\n\n";
     std::array<char, 16> size{};
     std::snprintf(size.data(), size.size(), "%zx\r\n", event.size());
--- a/review/harness/model_replica.h
+++ b/review/harness/model_replica.h
@@ -39,6 +39,9 @@
   /// entry in the store after three heartbeats.
   void PowerOff();
 
+  /// \brief Whether the machine stands still: nothing is read or sent.
+  void set_frozen(bool frozen) { frozen_ = frozen; }
+
   std::uint64_t version() const { return version_; }
   /// \brief A staged piece turns bad.
   void Spoil(int piece);
@@ -65,6 +68,7 @@
   bool ServeStage(connection& caller, const request& received);
   bool ServeOrder(connection& caller, const request& received);
   bool ServeStream(connection& caller, const request& received);
+  void AwaitThaw() const;
   void Register();
   /// \brief Completes a load whose time has come.
   void Advance();
@@ -96,6 +100,7 @@
   std::atomic<int> streams_{0};
   std::unique_ptr<server> server_;
   std::atomic<bool> on_{false};
+  std::atomic<bool> frozen_{false};
   std::atomic<bool> ended_{false};
   std::thread heartbeat_;
 };
