--- a/review/build.sh
+++ b/review/build.sh
@@ -11,7 +11,7 @@
 wait
 for source in review/*/case.cc; do
   name=$(basename "$(dirname "$source")")
-  g++ "${flags[@]}" "$source" "$out"/harness.o "$out"/model_replica.o \
+  g++ "${flags[@]}" "$source" "$out"/harness.o "$out"/model_replica.o "$out"/plain_replica.o \
     -lcrypto -o "$out/case-$name" &
 done
 wait
