--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <openssl/evp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -436,6 +437,7 @@
   const std::string variable = "FIREFLYSLIP_BOOT=" + file;
   pid_ = ::fork();
   if (pid_ == 0) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // ends with the case in any event
     const int output =
         ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     ::dup2(output, STDOUT_FILENO);
