--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -14,6 +14,7 @@
 constexpr char kGateway[] = "127.0.1.1";
 constexpr double kMemoryMb = 260;     // of a machine, by the sheet
 constexpr double kFloodRate = 115e6;  // bytes/s, below the link of 1000 Mbit/s
+constexpr int kSoundAnswers = 60;     // of the faulty replica before the other
 constexpr int kAllowed = 3;           // lost requests, by the rule
 
 int Run(const std::string& folder) {
@@ -21,7 +22,8 @@
     return kCannotRun;
   }
   const std::vector<std::string> addresses = {
-      kStoreAddress, kGateway, "127.0.4.1", "127.0.4.2", "127.0.4.3"};
+      kStoreAddress, kGateway,    "127.0.4.1", "127.0.4.2",
+      "127.0.4.3",   "127.0.4.4", "127.0.4.5"};
   const port_plan ports = ChoosePorts(addresses);
   store platform(ports);
   plain_replica faulty("i-faulty", "bookings", "127.0.4.1", ports.app, 0.03,
@@ -30,8 +32,13 @@
                         platform);
   plain_replica sound_b("i-sound-b", "venues", "127.0.4.3", ports.app, 0.2,
                         platform);
-  if (!platform.listening() || !faulty.listening() || !sound_a.listening() ||
-      !sound_b.listening()) {
+  // One of three replicas of its service is faulty.
+  plain_replica other_a("i-other-a", "bookings", "127.0.4.4", ports.app, 0.03,
+                        platform);
+  plain_replica other_b("i-other-b", "bookings", "127.0.4.5", ports.app, 0.03,
+                        platform);
+  if (!platform.listening() || !other_a.listening() || !other_b.listening() ||
+      !faulty.listening() || !sound_a.listening() || !sound_b.listening()) {
     return kCannotRun;
   }
   platform.Put("config", "main",
@@ -75,19 +82,31 @@
       }
     });
   }
-  Sleep(3);
+  std::vector<std::thread> bookers;
+  constexpr int kBookers = 4;
+  for (int i = 0; i < kBookers; ++i) {
+    bookers.emplace_back([&] {
+      client booking(kGateway, ports.callers);
+      while (!ended) {
+        const std::string id = NewAttemptId();
+        const answer got =
+            booking.Send("POST", "/book/a", ClientFields(id, 2500), "b", 3);
+        Record("booking " + id + ", status " + std::to_string(got.status));
+        Sleep(got.status == 200 ? 0.01 : 0.2);
+      }
+    });
+  }
+  // The gateway has been in touch for longer than 3 s, and the spoilt answer is
+  // at most one in 50 of its replica.
+  Sleep(3.5);
+  if (!WaitFor(30, [&] { return faulty.runs() >= kSoundAnswers; })) {
+    Record("too few bookings reached the faulty replica");
+  }
+  Record("answers of the faulty replica so far: " +
+         std::to_string(faulty.runs()));
   if (WithTrouble()) {
     faulty.SendWithoutEnd(kFloodRate);
   }
-  client booking(kGateway, ports.callers);
-  std::thread booker([&] {
-    for (int i = 0; i < 3; ++i) {
-      const std::string id = NewAttemptId();
-      const answer got =
-          booking.Send("POST", "/book/a", ClientFields(id, 2500), "b", 3);
-      Record("booking " + id + ", status " + std::to_string(got.status));
-    }
-  });
   // The platform ends a process that exceeds its memory.
   double peak = 0;
   bool exceeded = false;
@@ -105,7 +124,9 @@
   }
   Sleep(1);
   ended = true;
-  booker.join();
+  for (std::thread& booker : bookers) {
+    booker.join();
+  }
   for (std::thread& caller : callers) {
     caller.join();
   }
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,7 +1,10 @@
 // A machine with a stager and its replica is suspended while the stager reads
 // the staged pieces back, and a piece that it has read already turns bad.
 
+#include <algorithm>
 #include <csignal>
+#include <memory>
+#include <vector>
 
 #include "../harness/harness.h"
 #include "../harness/model_replica.h"
@@ -10,7 +13,7 @@
 namespace {
 
 constexpr char kGateway[] = "127.0.1.1";
-constexpr char kReplica[] = "127.0.2.1";
+constexpr int kMachines = 9;  // with a replica; one is suspended
 /// Reads of staged pieces after which the machine is suspended.
 constexpr int kReadsBeforePause = 24;
 constexpr double kPause = 4.0;  // seconds
@@ -19,8 +22,12 @@
   if (!OpenRecord(folder)) {
     return kCannotRun;
   }
-  const port_plan ports =
-      ChoosePorts({kStoreAddress, kOriginAddress, kGateway, kReplica});
+  std::vector<std::string> addresses = {kStoreAddress, kOriginAddress,
+                                        kGateway};
+  for (int i = 0; i < kMachines; ++i) {
+    addresses.push_back("127.0.2." + std::to_string(i + 1));
+  }
+  const port_plan ports = ChoosePorts(addresses);
   store platform(ports);
   origin weights(ports);
   if (!platform.listening() || !weights.listening()) {
@@ -31,8 +38,18 @@
                              {}, ports));
   weights.Publish(kModel, 1);
   platform.Put("versions", kModel, {{"modelName", kModel}, {"version", 1}});
-  model_replica replica(kReplica, ports, platform, {});
-  process stager("stager", "stager", StagerSettings(kReplica, kPool, ports));
+  std::vector<std::unique_ptr<model_replica>> replicas;
+  std::vector<std::unique_ptr<process>> stagers;
+  for (int i = 0; i < kMachines; ++i) {
+    const std::string& address = addresses[3 + i];
+    replicas.push_back(std::make_unique<model_replica>(
+        address, ports, platform, model_replica::options{}));
+    stagers.push_back(
+        std::make_unique<process>("stager", "stager-" + std::to_string(i),
+                                  StagerSettings(address, kPool, ports)));
+  }
+  model_replica& replica = *replicas.front();
+  process& stager = *stagers.front();
   process gateway("gateway", "gateway", GatewaySettings(kGateway, ports));
 
   std::atomic<bool> published{false};
@@ -44,8 +61,12 @@
       paused = true;
     }
   });
-  if (!replica.PowerOn(true) || !stager.Start() || !gateway.Start() ||
-      !AwaitReady(kGateway, ports.ready, 20)) {
+  for (int i = 0; i < kMachines; ++i) {
+    if (!replicas[i]->PowerOn(true) || !stagers[i]->Start()) {
+      return kCannotRun;
+    }
+  }
+  if (!gateway.Start() || !AwaitReady(kGateway, ports.ready, 20)) {
     return kCannotRun;
   }
   Sleep(6);
@@ -65,13 +86,17 @@
     replica.set_frozen(false);
     stager.Signal(SIGCONT);
   }
-  if (!WaitFor(30, [&] { return replica.version() == 2; })) {
+  const auto all_loaded = [&] {
+    return std::all_of(replicas.begin(), replicas.end(),
+                       [](const auto& item) { return item->version() == 2; });
+  };
+  if (!WaitFor(30, all_loaded)) {
     Record("version 2 was not loaded");
     return kCannotRun;
   }
   client caller(kGateway, ports.callers);
   int served = 0;
-  for (int i = 0; i < 10; ++i) {
+  for (int i = 0; i < 60; ++i) {
     header_list fields = ClientFields(NewAttemptId(), 6000);
     fields.emplace_back("Model", kModel);
     fields.emplace_back("Token-Count", "100,50");
@@ -80,7 +105,7 @@
     served += got.status == 200 && got.complete ? 1 : 0;
     Record("request " + fields[1].second + ", status " +
            std::to_string(got.status));
-    Sleep(0.1);
+    Sleep(0.02);
   }
   Record("served " + std::to_string(served) +
          ", of these on layers with a piece that was bad for over 3 s when "
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,5 +1,5 @@
-// Replicas answer the load report of their own machine without end. The stager
-// beside each of them exceeds its memory limit, again and again.
+// Some load reports of replicas have no end. The stager beside each of these
+// replicas exceeds its memory limit, again and again.
 
 #include <csignal>
 #include <memory>
@@ -13,6 +13,7 @@
 
 constexpr int kMachines = 4;
 constexpr int kInTrouble = 2;      // replicas, within a share of .5
+constexpr int kPeriod = 20;        // one report in so many has no end
 constexpr double kMemoryMb = 128;  // of a machine, by the sheet
 constexpr int kEnds = 3;           // of a machine's process, by the rule
 constexpr double kRestartDelay = 1;
@@ -51,12 +52,12 @@
   }
   Sleep(5);
   for (int i = 0; WithTrouble() && i < kInTrouble; ++i) {
-    replicas[i]->SendReportsWithoutEnd();
+    replicas[i]->SendReportsWithoutEnd(kPeriod);
   }
   std::vector<int> ends(kMachines, 0);
   std::vector<double> peaks(kMachines, 0);
   std::vector<double> restart_at(kMachines, 0);
-  const double end = Now() + 20;
+  const double end = Now() + 45;
   while (Now() < end) {
     for (int i = 0; i < kMachines; ++i) {
       if (restart_at[i] > 0) {
--- a/review/harness/plain_replica.cc
+++ b/review/harness/plain_replica.cc
@@ -21,6 +21,11 @@
       ReplicaEntry(service, address + ":" + std::to_string(port), kSlots));
 }
 
+int plain_replica::runs() {
+  const std::lock_guard lock(mutex_);
+  return static_cast<int>(runs_.size());
+}
+
 bool plain_replica::HasRun(const std::string& attempt_id) {
   const std::lock_guard lock(mutex_);
   return runs_.contains(attempt_id);
--- a/review/harness/plain_replica.h
+++ b/review/harness/plain_replica.h
@@ -28,6 +28,8 @@
   void SendWithoutEnd(double bytes_per_second) {
     flood_rate_ = bytes_per_second;
   }
+  /// \brief Number of requests that have run here.
+  int runs();
   /// \brief Whether a request has run here.
   bool HasRun(const std::string& attempt_id);
 
