Verify staged chunks again that were read too long before the load

Cause: nothing related the time of a read to the order. Ruled out: the reads themselves compare the digests correctly, and the read in progress succeeds after the pause. Each verification now holds for 3 s from the start of its read, the load is ordered only if all of them last for the time of the request, and the order carries the moment at which they expire. A request is not sent after its timeout. The order also carries its version: before, a new target that was stored between the verification and the order changed it.

--- a/include/fireflyslip/staging/weight_stager.h
+++ b/include/fireflyslip/staging/weight_stager.h
@@ -53,6 +53,15 @@
   /// Attempts at a source that did not have the chunk after a blocking call, or
   /// whose link is busy.
   std::size_t max_attempts_per_source = 3;
+  /// Time for which a staged chunk counts as intact after the start of the
+  /// read that verified it. The replica must accept the load by then, because
+  /// staged bytes may become corrupted at any time.
+  duration verification_lifetime = seconds(3);
+  /// Time that the load request may take until the replica accepts it.
+  duration load_request_timeout = seconds(1);
+  /// Concurrent reads of staged chunks. Doubled while verified chunks expire
+  /// before all are verified, because the replica responds slowly.
+  std::size_t min_parallel_reads = 4;
   /// Retry delay after a load request that was not carried out.
   duration load_retry_delay = milliseconds(300);
   /// Time between the announcement of a load and the load request, in which
@@ -74,10 +83,11 @@
 /// \brief Decision core that delivers the target version to one replica.
 ///
 /// It fetches and stages the chunks, has all staged bytes verified right before
-/// it requests the load, and starts again when the replica has lost its
-/// weights. A newer version replaces the target only if `IsReplaceable()`:
-/// versions in quick succession are each delivered, because the origin may fail
-/// during the newest one and leave the replica with weights that are too old.
+/// it requests the load, verifies those again that were read too long ago, and
+/// starts again when the replica has lost its weights. A newer version replaces
+/// the target only if `IsReplaceable()`: versions in quick succession are each
+/// delivered, because the origin may fail during the newest one and leave the
+/// replica with weights that are too old.
 class weight_stager {
  public:
   struct target_assigned {
@@ -120,12 +130,13 @@
 
     auto operator<=>(const stage_ended&) const = default;
   };
-  /// \brief All staged chunks were read back; `corrupt_chunks` differ from
-  /// their digests or are missing.
+  /// \brief A staged chunk was read back.
   struct verify_ended {
-    std::vector<std::size_t> corrupt_chunks;
+    std::size_t chunk = 0;
+    bool intact = false;  ///< The bytes match the digest.
+    time_point read_at;   ///< Start of the read.
 
-    bool operator==(const verify_ended&) const = default;
+    auto operator<=>(const verify_ended&) const = default;
   };
   struct load_ended {
     bool accepted = false;
@@ -164,12 +175,18 @@
   struct announce_load {
     auto operator<=>(const announce_load&) const = default;
   };
-  /// \brief Read all staged chunks back and compare their digests.
+  /// \brief Read a staged chunk back and compare its digest.
   struct verify {
+    std::size_t chunk = 0;
+
     auto operator<=>(const verify&) const = default;
   };
-  /// \brief Request the replica to load the staged weights.
+  /// \brief Request the replica to load the staged weights. The request must
+  /// not be sent after `accept_by`, when the verification has expired.
   struct load {
+    std::uint64_t version = 0;
+    time_point accept_by;
+
     auto operator<=>(const load&) const = default;
   };
   using action = std::variant<fetch, stage, announce_load, verify, load>;
@@ -217,6 +234,8 @@
     /// Whether none of the agents that were asked to wait for the chunk, since
     /// the first source was last tried, knew of a recent request to the origin.
     bool fetchers_silent = true;
+    bool verifying = false;  // a read of the staged bytes is in progress
+    std::optional<time_point> verified_at;  // start of the last intact read
   };
   enum class load_phase { kNone, kAnnounced, kVerifying, kRequested };
 
@@ -235,6 +254,13 @@
   void StartFetch(std::size_t chunk, const staging_source& source);
   void StageFetched();
   void AdvanceLoad();
+  void StartVerification();
+  void ForgetVerification();
+  /// \brief Reads the chunks whose verification is missing or has expired, or
+  /// requests the load if there are none.
+  void AdvanceVerification();
+  /// \brief Whether a chunk is verified for as long as a load request takes.
+  bool IsVerified(const chunk_state& chunk) const;
   bool AllStaged() const;
   bool IsInSecondBatch() const;
   const staging_source& SourceOf(std::size_t chunk) const;
@@ -277,6 +303,7 @@
   replica_observed replica_;
   bool replica_known_ = false;
   load_phase load_phase_ = load_phase::kNone;
+  std::size_t max_reads_ = 0;   // of staged chunks at a time
   bool load_accepted_ = false;  // the replica has accepted to load the target
   time_point last_progress_;
   time_point load_not_before_;
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -385,6 +385,10 @@
   }
   const auto remaining = std::chrono::duration_cast<duration>(
       std::max(deadline - clock_type::now(), clock_type::duration(0)));
+  if (remaining == duration(0)) {
+    co_return MakeError(endpoint, error_kind::kNoUpstream,
+                        "timed out before the request was sent");
+  }
   stream->expires_after(remaining);
   const auto request_written = std::make_shared<bool>(false);
   beast::error_code code;
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -49,6 +49,7 @@
   staging_policy policy;
   policy.second_batch_delay =
       FromSeconds(ToSeconds(settings.rollout_timeout) * kSecondBatchFraction);
+  policy.load_request_timeout = kLocalReplicaTimeout;
   return policy;
 }
 
@@ -223,8 +224,8 @@
           [&](const weight_stager::announce_load&) {
             publisher_.SetLoadPending(true);
           },
-          [&](const weight_stager::verify&) { spawn(Verify()); },
-          [&](const weight_stager::load&) { spawn(Load()); },
+          [&](const weight_stager::verify& order) { spawn(Verify(order)); },
+          [&](const weight_stager::load& order) { spawn(Load(order)); },
       },
       action);
 }
@@ -599,37 +600,43 @@
   }
 }
 
-awaitable<void> stager::Verify() {
+awaitable<void> stager::Verify(weight_stager::verify order) {
   const std::uint64_t version = chunks_.version();
   weight_stager::verify_ended ended;
-  for (std::size_t i = 0; i < chunks_.size(); ++i) {
-    const auto bytes =
-        co_await engine_.ReadStagedChunk(model_, i, kLocalReplicaTimeout);
-    if (version != chunks_.version()) {
-      co_return;  // superseded
-    }
-    if (!IsOk(bytes) || !chunks_.Matches(i, ValueOf(bytes))) {
-      ended.corrupt_chunks.push_back(i);
-    }
+  ended.chunk = order.chunk;
+  ended.read_at = MonotonicNow();
+  const auto bytes = co_await engine_.ReadStagedChunk(model_, order.chunk,
+                                                      kLocalReplicaTimeout);
+  if (version != chunks_.version()) {
+    co_return;  // superseded
   }
-  if (!ended.corrupt_chunks.empty()) {
-    LogLine("event=staged_chunks_spoilt version=" + std::to_string(version) +
-            " count=" + std::to_string(ended.corrupt_chunks.size()));
+  ended.intact = IsOk(bytes) && chunks_.Matches(order.chunk, ValueOf(bytes));
+  if (!ended.intact) {
+    LogLine("event=staged_chunk_spoilt version=" + std::to_string(version) +
+            " chunk=" + std::to_string(order.chunk) +
+            (IsOk(bytes) ? "" : " reason=\"" + ErrorOf(bytes).detail + "\""));
   }
   core_.Handle(ended);
 }
 
-awaitable<void> stager::Load() {
-  const std::uint64_t version = chunks_.version();
-  const auto answer =
-      co_await engine_.LoadWeights(model_, version, kLocalReplicaTimeout);
+awaitable<void> stager::Load(weight_stager::load order) {
+  if (order.version != chunks_.version()) {
+    co_return;  // superseded
+  }
+  const duration timeout = std::min<duration>(kLocalReplicaTimeout,
+                                              order.accept_by - MonotonicNow());
+  result<platform::weight_load_status> answer =
+      error{error_kind::kDeadlineExceeded, "the verification has expired"};
+  if (timeout > duration(0)) {
+    answer = co_await engine_.LoadWeights(model_, order.version, timeout);
+  }
   weight_stager::load_ended ended;
   ended.accepted =
       IsOk(answer) && ValueOf(answer) != platform::weight_load_status::kBusy;
-  LogLine("event=load_ordered version=" + std::to_string(version) +
+  LogLine("event=load_ordered version=" + std::to_string(order.version) +
           " accepted=" + (ended.accepted ? "1" : "0") +
           (IsOk(answer) ? "" : " reason=\"" + ErrorOf(answer).detail + "\""));
-  if (version == chunks_.version()) {
+  if (order.version == chunks_.version()) {
     core_.Handle(ended);
   }
 }
--- a/src/stager/stager.h
+++ b/src/stager/stager.h
@@ -76,8 +76,8 @@
   /// \brief Logs when the origin starts or ceases to fail.
   void RecordOriginAnswer(const result<std::string>& answer);
   boost::asio::awaitable<void> Stage(weight_stager::stage order);
-  boost::asio::awaitable<void> Verify();
-  boost::asio::awaitable<void> Load();
+  boost::asio::awaitable<void> Verify(weight_stager::verify order);
+  boost::asio::awaitable<void> Load(weight_stager::load order);
   boost::asio::awaitable<void> Sleep(duration length);
 
   boost::asio::io_context& context_;
--- a/src/staging/weight_stager.cc
+++ b/src/staging/weight_stager.cc
@@ -71,6 +71,7 @@
   origin_failing_ = false;
   origin_failed_until_.reset();
   load_phase_ = load_phase::kNone;
+  max_reads_ = policy_.min_parallel_reads;
   load_not_before_ = now_;
   load_accepted_ = false;
   last_progress_ = now_;
@@ -234,18 +235,18 @@
 }
 
 void weight_stager::On(const verify_ended& event) {
-  if (load_phase_ != load_phase::kVerifying) {
+  if (event.chunk >= chunks_.size() || !chunks_[event.chunk].verifying) {
     return;
   }
-  load_phase_ = load_phase::kNone;
-  for (const std::size_t index : event.corrupt_chunks) {
-    if (index < chunks_.size()) {
-      chunks_[index].phase = chunk_phase::kFetched;
-    }
+  chunk_state& chunk = chunks_[event.chunk];
+  chunk.verifying = false;
+  if (event.intact) {
+    chunk.verified_at = event.read_at;
+    return;
   }
-  if (event.corrupt_chunks.empty()) {
-    load_phase_ = load_phase::kRequested;
-    actions_.emplace_back(load{});
+  chunk.phase = chunk_phase::kFetched;
+  if (load_phase_ == load_phase::kVerifying) {
+    load_phase_ = load_phase::kNone;
   }
 }
 
@@ -328,11 +329,14 @@
 void weight_stager::AdvanceLoad() {
   if (load_phase_ == load_phase::kAnnounced) {
     if (load_not_before_ <= now_) {
-      load_phase_ = load_phase::kVerifying;
-      actions_.emplace_back(verify{});
+      StartVerification();
     }
     return;
   }
+  if (load_phase_ == load_phase::kVerifying) {
+    AdvanceVerification();
+    return;
+  }
   if (load_phase_ != load_phase::kNone || !replica_known_ || replica_.loading ||
       IsServing() || !AllStaged()) {
     return;
@@ -345,8 +349,7 @@
     return;
   }
   if (replica_.version == 0) {
-    load_phase_ = load_phase::kVerifying;
-    actions_.emplace_back(verify{});
+    StartVerification();
     return;
   }
   load_phase_ = load_phase::kAnnounced;
@@ -354,6 +357,59 @@
   actions_.emplace_back(announce_load{});
 }
 
+void weight_stager::StartVerification() {
+  load_phase_ = load_phase::kVerifying;
+  ForgetVerification();
+  AdvanceVerification();
+}
+
+void weight_stager::ForgetVerification() {
+  for (chunk_state& chunk : chunks_) {
+    chunk.verified_at.reset();
+  }
+}
+
+void weight_stager::AdvanceVerification() {
+  const bool expired = std::any_of(
+      chunks_.begin(), chunks_.end(), [this](const chunk_state& chunk) {
+        return chunk.verified_at && !IsVerified(chunk);
+      });
+  if (expired) {
+    // All are read again at the same time: otherwise, some chunk might expire
+    // whenever another one has been read.
+    ForgetVerification();
+    max_reads_ = std::min(max_reads_ * 2, chunks_.size());
+  }
+  std::size_t reads = 0;
+  bool complete = true;
+  time_point oldest = now_;
+  for (const chunk_state& chunk : chunks_) {
+    reads += chunk.verifying ? 1 : 0;
+    complete = complete && chunk.verified_at;
+    oldest = std::min(oldest, chunk.verified_at.value_or(now_));
+  }
+  if (complete) {
+    load_phase_ = load_phase::kRequested;
+    actions_.emplace_back(
+        load{target_.version, oldest + policy_.verification_lifetime});
+    return;
+  }
+  for (std::size_t index = 0; index < chunks_.size(); ++index) {
+    chunk_state& chunk = chunks_[index];
+    if (reads < max_reads_ && !chunk.verifying && !chunk.verified_at) {
+      chunk.verifying = true;
+      ++reads;
+      actions_.emplace_back(verify{index});
+    }
+  }
+}
+
+bool weight_stager::IsVerified(const chunk_state& chunk) const {
+  return chunk.verified_at &&
+         now_ + policy_.load_request_timeout <=
+             *chunk.verified_at + policy_.verification_lifetime;
+}
+
 bool weight_stager::AllStaged() const {
   return !chunks_.empty() &&
          std::all_of(chunks_.begin(), chunks_.end(),
--- a/tests/stager/stager_test.cc
+++ b/tests/stager/stager_test.cc
@@ -5,9 +5,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
+#include <thread>
 
 #include "node/fake_store.h"
 
@@ -15,7 +18,7 @@
 namespace {
 
 /// \brief A stager that is also the relay of its data centre, beside a replica
-/// and an origin that provides the manifest but no chunk.
+/// that also answers as the origin of weights.
 class stager_test : public testing::Test {
  protected:
   stager_test() : store_(context_), replica_(MakeReplica()) {
@@ -37,8 +40,8 @@
           {{{"name", "singer"},
             {"engineType",
              {{"modelList", {{{"name", "m"}}}},
-              {"chunkCount", 2},
-              {"chunkBytes", 4}}}},
+              {"chunkCount", kChunks},
+              {"chunkBytes", ChunkOf("m", 1, 0).size()}}}},
            {{"name", "origin"}, {"origin", address}, {"zone", "akl"}}}}});
     store_.PutUpstream("i-1", address);
     store_.PutVersion(2);
@@ -56,24 +59,64 @@
     return server;
   }
 
+  static std::string ChunkOf(const std::string& model,
+                             std::uint64_t version,
+                             std::size_t index) {
+    return "chunk " + std::to_string(index) + " of " + model + " " +
+           std::to_string(version);
+  }
+
   boost::asio::awaitable<void> ServeReplica(http_request request,
                                             response_writer& writer) {
     http_response response;
     const std::string path(request.path());
+    const std::string model = path.substr(path.rfind('/') + 1);
+    const auto parameter = [&](std::string_view name) {
+      const std::string text(request.QueryParameter(name));
+      return text.empty() ? 0 : std::stoul(text);
+    };
+    const std::size_t index = parameter("itemCount");
+    const std::uint64_t version = parameter("version");
     if (path == platform::kReportPath) {
       response.body =
-          R"({"active":0,"queued":0,"modelList":[{"name":"m","version":1}]})";
+          nlohmann::json{
+              {"active", 0},
+              {"queued", 0},
+              {"modelList", {{{"name", "m"}, {"version", loaded_version_}}}}}
+              .dump();
     } else if (path.starts_with(platform::kManifestPath)) {
       ++manifests_;
-      const std::string name(64, '0');
-      response.body =
-          nlohmann::json{{"version", 2}, {"digestList", {name, name}}}.dump();
+      manifest_versions_.insert(version);
+      response.body = ManifestOf(model, version);
+    } else if (path.starts_with(platform::kChunkPath) && has_chunks_) {
+      response.body = ChunkOf(model, version, index);
+    } else if (path.starts_with(platform::kStagePutPath)) {
+      staged_[index] = request.body;
+    } else if (path.starts_with(platform::kStageGetPath)) {
+      response.status = staged_.contains(index) ? 200 : 404;
+      if (response.status == 200) {
+        response.body = staged_[index];
+        on_read_(++reads_);
+      }
+    } else if (path == platform::kOrderPath) {
+      response.status = 202;
+      on_order_();
+      loaded_version_ =
+          nlohmann::json::parse(request.body)["version"].get<std::uint64_t>();
     } else {
       response.status = 503;
     }
     co_await writer.Send(std::move(response));
   }
 
+  std::string ManifestOf(const std::string& model, std::uint64_t version) {
+    nlohmann::json digests = nlohmann::json::array();
+    for (std::size_t i = 0; i < kChunks; ++i) {
+      digests.push_back(digest::Of(ChunkOf(model, version, i)).ToHex());
+    }
+    return nlohmann::json{{"version", version}, {"digestList", digests}}.dump();
+  }
+
   /// First of four consecutive ports that are free.
   static std::uint16_t FreePorts() {
     using boost::asio::ip::tcp;
@@ -107,7 +150,15 @@
   http_endpoint replica_endpoint_;
   std::unique_ptr<http_server> replica_;
   node_settings settings_;
+  static constexpr std::size_t kChunks = 8;
+  bool has_chunks_ = false;  // the origin provides them
+  std::map<std::size_t, std::string> staged_;
+  std::uint64_t loaded_version_ = 1;
+  std::function<void(std::size_t)> on_read_ = [](std::size_t) {};
+  std::function<void()> on_order_ = [] {};
+  std::size_t reads_ = 0;      // of staged chunks
   std::size_t manifests_ = 0;  // requests
+  std::set<std::uint64_t> manifest_versions_;
   metrics counters_;
   std::unique_ptr<stager> stager_;
 };
@@ -135,5 +186,29 @@
   EXPECT_EQ(lists(), 1U);
 }
 
+// Guards against loading a staged chunk that turned bad after it had been
+// verified, because the process was suspended before the last one was read.
+TEST_F(stager_test, Agent_SuspendedWhileVerifying_SpoiltChunkNotLoaded) {
+  has_chunks_ = true;
+  std::optional<time_point> spoilt_at;
+  on_read_ = [&](std::size_t reads) {
+    if (reads == kChunks - 2) {
+      staged_[0] = "spoilt";
+      spoilt_at = MonotonicNow();
+      std::this_thread::sleep_for(milliseconds(3500));
+    }
+  };
+  std::size_t spoilt_loads = 0;
+  on_order_ = [&] {
+    const bool is_spoilt = staged_[0] != ChunkOf("m", 2, 0);
+    spoilt_loads +=
+        is_spoilt && MonotonicNow() - *spoilt_at > seconds(3) ? 1 : 0;
+  };
+  ASSERT_TRUE(IsOk(stager_->Start()));
+  ASSERT_TRUE(RunUntil([&] { return loaded_version_ == 2; }));
+  EXPECT_TRUE(spoilt_at);
+  EXPECT_EQ(spoilt_loads, 0U);
+}
+
 }  // namespace
 }  // namespace fireflyslip
--- a/tests/staging/weight_stager_test.cc
+++ b/tests/staging/weight_stager_test.cc
@@ -38,7 +38,7 @@
 
   // Fetches and stages all chunks.
   void CompleteStaging() {
-    for (int round = 0; round < 20; ++round) {
+    for (int round = 0; round < 50; ++round) {
       for (const auto& fetch : Take<weight_stager::fetch>()) {
         Handle(weight_stager::fetch_ended{fetch.chunk, fetch.source,
                                           weight_stager::fetch_result::kFetched,
@@ -50,6 +50,27 @@
     }
   }
 
+  // Completes the reads of staged chunks that are in progress; `time` for each
+  // group of parallel ones. Returns the number of reads.
+  std::size_t CompleteReads(duration time = {}) {
+    const auto reads = Take<weight_stager::verify>();
+    const time_point read_at = now_;
+    now_ += time;
+    for (const auto& read : reads) {
+      Handle(weight_stager::verify_ended{read.chunk, true, read_at});
+    }
+    return reads.size();
+  }
+
+  // Reads all staged chunks, or up to `max_reads` of them; returns the number.
+  std::size_t VerifyAll(std::size_t max_reads = 1000) {
+    std::size_t reads = 0;
+    for (std::size_t more = 1; more > 0 && reads < max_reads; reads += more) {
+      more = CompleteReads();
+    }
+    return reads;
+  }
+
   void Observe(std::uint64_t version, bool loading = false) {
     Handle(weight_stager::replica_observed{version, loading});
   }
@@ -73,25 +94,91 @@
   Observe(0);
   AssignTarget(1);
   CompleteStaging();
-  EXPECT_EQ(Take<weight_stager::verify>().size(), 1U);
   EXPECT_TRUE(Take<weight_stager::load>().empty());
-  Handle(weight_stager::verify_ended{});
+  EXPECT_EQ(VerifyAll(kChunks - 1), kChunks);
+  const auto loads = Take<weight_stager::load>();
+  ASSERT_EQ(loads.size(), 1U);
+  EXPECT_EQ(loads.front().version, 1U);
+}
+
+// Guards against loading a chunk that turned bad after it had been verified,
+// while the agent was suspended between the reads of two chunks.
+TEST_F(weight_stager_test, Verify_PauseBetweenReads_ReadChunksReadAgain) {
+  Observe(0);
+  AssignTarget(1);
+  CompleteStaging();
+  EXPECT_EQ(CompleteReads(), 4U);
+  EXPECT_EQ(CompleteReads(seconds(4)), 4U);
+  EXPECT_TRUE(Take<weight_stager::load>().empty());
+  EXPECT_EQ(VerifyAll(), kChunks);
   EXPECT_EQ(Take<weight_stager::load>().size(), 1U);
 }
 
+// Guards against loading a chunk that turned bad after the last read: a load
+// request that is delayed for longer than the verification holds.
+TEST_F(weight_stager_test, Load_DelayedAfterVerify_ExpiresWithOldestRead) {
+  Observe(0);
+  AssignTarget(1);
+  CompleteStaging();
+  const time_point first_read = now_;
+  CompleteReads(milliseconds(700));
+  VerifyAll();
+  const auto loads = Take<weight_stager::load>();
+  ASSERT_EQ(loads.size(), 1U);
+  EXPECT_EQ(loads.front().accept_by, first_read + seconds(3));
+  // The request was not sent, so everything is verified again.
+  now_ += seconds(4);
+  Handle(weight_stager::load_ended{false});
+  AdvanceTime(milliseconds(400));
+  EXPECT_EQ(VerifyAll(), kChunks);
+}
+
+// Guards against loading a chunk that turned bad since its read, or against
+// never loading, when the replica takes long for each read.
+TEST_F(weight_stager_test, Verify_SlowReplica_LoadedWithinLifetimeOfAllReads) {
+  for (const duration read_time :
+       {milliseconds(50), milliseconds(500), milliseconds(900)}) {
+    core_ = weight_stager({}, {"10.0.0.1", region_id("a"), false});
+    actions_.clear();
+    Observe(0);
+    Handle(weight_stager::target_assigned{1, 48, false});
+    CompleteStaging();
+    std::vector<time_point> read_at(48);
+    std::vector<weight_stager::load> loads;
+    for (int round = 0; round < 100 && loads.empty(); ++round) {
+      const auto reads = Take<weight_stager::verify>();
+      const time_point started = now_;
+      now_ += read_time;
+      for (const auto& read : reads) {
+        read_at[read.chunk] = started;
+        Handle(weight_stager::verify_ended{read.chunk, true, started});
+      }
+      loads = Take<weight_stager::load>();
+    }
+    ASSERT_EQ(loads.size(), 1U) << read_time.count() << " us a read";
+    const time_point oldest = *std::min_element(read_at.begin(), read_at.end());
+    EXPECT_LE(now_ - oldest, seconds(2));
+    EXPECT_EQ(loads.front().accept_by, oldest + seconds(3));
+  }
+}
+
 // Guards against loading chunks that were corrupted in staging memory.
 TEST_F(weight_stager_test, Verify_CorruptChunk_StagedAgainAndVerified) {
   Observe(0);
   AssignTarget(1);
   CompleteStaging();
-  Take<weight_stager::verify>();
-  Handle(weight_stager::verify_ended{{3}});
+  CompleteReads();
+  ASSERT_EQ(Take<weight_stager::verify>().size(), 4U);
+  for (std::size_t chunk = 4; chunk < kChunks; ++chunk) {
+    Handle(weight_stager::verify_ended{chunk, chunk != 5, now_});
+  }
   EXPECT_TRUE(Take<weight_stager::load>().empty());
   const auto staged = Take<weight_stager::stage>();
   ASSERT_EQ(staged.size(), 1U);
-  EXPECT_EQ(staged.front().chunk, 3U);
-  Handle(weight_stager::stage_ended{3, true});
-  EXPECT_EQ(Take<weight_stager::verify>().size(), 1U);
+  EXPECT_EQ(staged.front().chunk, 5U);
+  Handle(weight_stager::stage_ended{5, true});
+  EXPECT_EQ(VerifyAll(), kChunks);
+  EXPECT_EQ(Take<weight_stager::load>().size(), 1U);
 }
 
 // Guards against requests that wait at the replica for the load, because
@@ -102,7 +189,7 @@
   CompleteStaging();
   AdvanceTime(seconds(5));
   EXPECT_EQ(Take<weight_stager::announce_load>().size(), 1U);
-  EXPECT_EQ(Take<weight_stager::verify>().size(), 1U);
+  EXPECT_FALSE(Take<weight_stager::verify>().empty());
   EXPECT_TRUE(core_.IsLoadPending());
 }
 
@@ -143,7 +230,8 @@
   EXPECT_TRUE(core_.IsReplaceable(now_ + seconds(2)));
   CompleteStaging();
   AdvanceTime(seconds(5));
-  Handle(weight_stager::verify_ended{});
+  VerifyAll();
+  EXPECT_EQ(Take<weight_stager::load>().size(), 1U);
   Handle(weight_stager::load_ended{true});
   EXPECT_TRUE(core_.IsReplaceable(now_));
 }
@@ -184,15 +272,15 @@
   Observe(0);
   AssignTarget(1);
   CompleteStaging();
-  Take<weight_stager::verify>();
-  Handle(weight_stager::verify_ended{});
-  Take<weight_stager::load>();
+  VerifyAll();
+  EXPECT_EQ(Take<weight_stager::load>().size(), 1U);
   Handle(weight_stager::load_ended{true});
   Observe(1);
   EXPECT_TRUE(core_.IsServing());
   Observe(0);
   AdvanceTime(milliseconds(400));
-  EXPECT_EQ(Take<weight_stager::verify>().size(), 1U);
+  EXPECT_EQ(VerifyAll(), kChunks);
+  EXPECT_EQ(Take<weight_stager::load>().size(), 1U);
 }
 
 // Guards against transfers that delay requests to the replica on a link whose
