Keep the versions of all models until the agent knows its own

Callers of one of two models were refused for good after a loss of power (RECOVER): its agents asked the origin for the version of the other model, which nobody had named for theirs.

Cause: while the agent does not know the model of its replica, it took the highest version of all models for its own, and versions never go back. The list of versions arrives before the configuration at every start. Ruled out: the origin is not asked for the right version, and relays keep versions by model. The agent now keeps the newest version of each model and looks up its own. Requests between agents name the model, because a peer's address may belong to another service by now; the version alone did not tell them apart.

--- a/src/stager/chunk_server.cc
+++ b/src/stager/chunk_server.cc
@@ -114,10 +114,12 @@
 
 chunk_server::chunk_server(boost::asio::io_context& context,
                            const chunk_store& chunks,
+                           const model_name& model,
                            double bytes_per_second,
                            overdue_query overdue)
     : context_(context),
       chunks_(chunks),
+      model_(model),
       overdue_(std::move(overdue)),
       pacer_(bytes_per_second),
       server_(context,
@@ -152,6 +154,11 @@
   const std::optional<chunk_key> key = ParseChunkPath(request.path());
   http_response response;
   response.status = kStatusNotFound;
+  const std::string_view wanted = request.Field(kModelField);
+  if (!wanted.empty() && wanted != model_.value()) {
+    co_await writer.Send(std::move(response));
+    co_return;
+  }
   if (const auto version = ParseManifestPath(request.path())) {
     co_await AwaitVersion(*version);
     if (chunks_.version() == *version) {
--- a/src/stager/chunk_server.h
+++ b/src/stager/chunk_server.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "fireflyslip/core/ids.h"
 #include "fireflyslip/http.h"
 #include "fireflyslip/staging/link_pacer.h"
 #include "stager/chunk_store.h"
@@ -29,6 +30,10 @@
 /// due at the origin, as in `weight_stager::Overdue()`.
 inline constexpr char kOverdueField[] = "x-chunk-overdue-ms";
 
+/// Field of a request: the model that the peer wants. Older agents do not send
+/// it.
+inline constexpr char kModelField[] = "x-chunk-model";
+
 /// \brief Parses the value of `kOverdueField`; nothing if it is missing.
 std::optional<duration> ParseOverdue(std::string_view value);
 
@@ -42,7 +47,8 @@
 /// chunk that is not available yet waits for it for a limited time. The status
 /// is 404 if the chunk is not available, and 503 if the network link is busy
 /// for too long. A request for the manifest of a version that is not being
-/// staged yet waits for it as well.
+/// staged yet waits for it as well. Requests for another model are answered
+/// with 404: a peer may still list this VM for a service that has left it.
 class chunk_server {
  public:
   /// Returns `weight_stager::Overdue()` for a chunk of a version; nothing if
@@ -51,9 +57,11 @@
       std::function<std::optional<duration>(std::uint64_t version,
                                             std::size_t index)>;
 
+  /// \param model of the chunks; empty until it is known.
   /// \param bytes_per_second maximum total rate of all chunks.
   chunk_server(boost::asio::io_context& context,
                const chunk_store& chunks,
+               const model_name& model,
                double bytes_per_second,
                overdue_query overdue);
 
@@ -75,6 +83,7 @@
 
   boost::asio::io_context& context_;
   const chunk_store& chunks_;
+  const model_name& model_;
   overdue_query overdue_;
   std::multimap<std::size_t, boost::asio::steady_timer*> waiters_;
   std::set<boost::asio::steady_timer*> version_waiters_;
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -91,6 +91,7 @@
       peer_client_(context),
       chunk_server_(context,
                     chunks_,
+                    model_,
                     ChunkRate(settings),
                     [this](std::uint64_t version, std::size_t chunk) {
                       return Overdue(version, chunk);
@@ -195,13 +196,20 @@
 }
 
 void stager::SetNewestVersion(const model_name& model, std::uint64_t version) {
-  if ((model_.empty() || model == model_) && version > newest_version_) {
-    newest_version_ = version;
+  std::uint64_t& newest = newest_versions_[model];
+  if (version > newest) {
+    newest = version;
     LogLine("event=version_named model=" + model.value() +
-            " version=" + std::to_string(newest_version_));
+            " version=" + std::to_string(version));
   }
 }
 
+std::uint64_t stager::newest_version() const {
+  const auto found = newest_versions_.find(model_);
+  return std::max(kFirstVersion,
+                  found == newest_versions_.end() ? 0 : found->second);
+}
+
 void stager::OnReplicaLoad(const upstream_load& load) {
   replica_load_ = load;
   if (!load.reachable) {
@@ -315,7 +323,7 @@
   // running before this process may already hold that version.
   bool is_first_target = true;
   for (;;) {
-    const std::uint64_t wanted = std::max(newest_version_, kFirstVersion);
+    const std::uint64_t wanted = newest_version();
     if (wanted > core_.core().target() && versions_listed_ &&
         ((replica_load_ && replica_load_->reachable) || !is_first_target) &&
         core_.core().IsReplaceable(MonotonicNow())) {
@@ -384,6 +392,7 @@
   const http_endpoint peer{std::move(address), settings_.ChunkEndpoint().port};
   http_request request;
   request.target = ManifestPath(version);
+  request.fields.push_back({kModelField, model_.value()});
   const auto answer =
       co_await peer_client_.Request(peer, std::move(request), kManifestTimeout);
   if (!IsOk(answer)) {
@@ -525,6 +534,7 @@
                              settings_.ChunkEndpoint().port};
     http_request request;
     request.target = ChunkTarget(version, chunk, order.source.blocking_call);
+    request.fields.push_back({kModelField, model_.value()});
     const auto answer =
         co_await peer_client_.Open(peer, std::move(request), kChunkTimeout);
     if (IsOk(answer)) {
--- a/src/stager/stager.h
+++ b/src/stager/stager.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -43,6 +44,8 @@
   relay_client::handlers RelayHandlers();
   void OnVersionObject(const platform::store_object& object);
   void SetNewestVersion(const model_name& model, std::uint64_t version);
+  /// \brief Newest published version of the model of the replica.
+  std::uint64_t newest_version() const;
   void OnReplicaLoad(const upstream_load& load);
   void Apply(const weight_stager::action& action);
 
@@ -105,7 +108,9 @@
   core_driver<weight_stager> core_;
   region_id origin_region_;
   model_name model_;
-  std::uint64_t newest_version_ = 0;  // published by operators
+  /// Published by operators. The list may arrive before the name of the model
+  /// of the replica, so the versions of all models are kept.
+  std::map<model_name, std::uint64_t> newest_versions_;
   bool versions_listed_ = false;
   std::optional<upstream_load> replica_load_;
   std::vector<staging_peer> peers_;
--- a/tests/catalog/version_targets_test.cc
+++ b/tests/catalog/version_targets_test.cc
@@ -55,5 +55,15 @@
   EXPECT_EQ(targets_.Newest(model_), 3U);
 }
 
+// Guards against versions of one model that supersede those of another one.
+TEST_F(version_targets_test, Publish_TwoModels_KeptApart) {
+  const model_name other("other");
+  targets_.Publish(model_, 1, now_, now_);
+  targets_.Publish(other, 7, now_, now_);
+  EXPECT_EQ(targets_.Newest(model_), 1U);
+  EXPECT_EQ(targets_.Newest(other), 7U);
+  EXPECT_EQ(targets_.SupersededAt(model_, 1, now_), std::nullopt);
+}
+
 }  // namespace
 }  // namespace fireflyslip
--- a/tests/node/relay_message_test.cc
+++ b/tests/node/relay_message_test.cc
@@ -35,8 +35,10 @@
         {2, 20},
         false,
         {{upstream_id("a"), Entry("a")}, {upstream_id("b"), std::nullopt}}};
-    answer.versions = {
-        {1, 12}, milliseconds(700), {{model_name("m"), {3, seconds(2)}}}};
+    answer.versions = {{1, 12},
+                       milliseconds(700),
+                       {{model_name("m"), {3, seconds(2)}},
+                        {model_name("other"), {7, seconds(1)}}}};
     answer.relays = {"10.1.0.40", "10.1.0.41"};
     return answer;
   }
--- a/tests/stager/stager_test.cc
+++ b/tests/stager/stager_test.cc
@@ -210,5 +210,34 @@
   EXPECT_EQ(spoilt_loads, 0U);
 }
 
+// Guards against a replica without weights: an agent that starts takes the
+// version of another model for its own, because it reads the versions before it
+// knows its model.
+TEST_F(stager_test, Agent_StartsWithTwoModels_OwnVersionFetched) {
+  has_chunks_ = true;
+  loaded_version_ = 0;
+  store_.Put(platform::kVersionKind, "other",
+             {{"modelName", "other"}, {"version", 7}});
+  ASSERT_TRUE(IsOk(stager_->Start()));
+  ASSERT_TRUE(RunUntil([&] { return loaded_version_ == 2; }));
+  EXPECT_EQ(manifest_versions_, std::set<std::uint64_t>{2});
+}
+
+// Guards against the same after the start: a new version of another model, as a
+// list, as a change or from a relay.
+TEST_F(stager_test, OtherModel_NewVersion_OwnVersionKept) {
+  has_chunks_ = true;
+  ASSERT_TRUE(IsOk(stager_->Start()));
+  ASSERT_TRUE(RunUntil([&] { return loaded_version_ == 2; }));
+  store_.Put(platform::kVersionKind, "other",
+             {{"modelName", "other"}, {"version", 7}});
+  context_.run_for(std::chrono::seconds(3));
+  EXPECT_EQ(loaded_version_, 2U);
+  store_.PutVersion(3);
+  ASSERT_TRUE(RunUntil([&] { return loaded_version_ != 2; }));
+  EXPECT_EQ(loaded_version_, 3U);
+  EXPECT_EQ(manifest_versions_, (std::set<std::uint64_t>{2, 3}));
+}
+
 }  // namespace
 }  // namespace fireflyslip
