Limit every response to what its reader can expect

Cause: all readers of the HTTP client shared a limit of 64 MB, and the string that collects a body doubles. Chunks from other agents had no limit. Ruled out: the connection was closed at the limit, and reports are read one after the other. Each reader now has a limit that follows from what it reads; a longer response fails with response_too_large, is logged and counted, and its connection is closed. Servers between the processes accept no request bodies.

--- a/include/fireflyslip/core/error.h
+++ b/include/fireflyslip/core/error.h
@@ -34,6 +34,7 @@
   kOutcomeUnknown,
   kVersionChanged,
   kUpstreamFailed,
+  kResponseTooLarge,
   kCorruptData,
   kProtocolError,
   kInternalError,
--- a/include/fireflyslip/http.h
+++ b/include/fireflyslip/http.h
@@ -8,6 +8,7 @@
 #include "fireflyslip/http/http_message.h"
 #include "fireflyslip/http/http_server.h"
 #include "fireflyslip/http/problem.h"
+#include "fireflyslip/http/response_limit.h"
 #include "fireflyslip/http/socket_options.h"
 
 #endif  // FIREFLYSLIP_HTTP_H_
--- a/include/fireflyslip/http/http_client.h
+++ b/include/fireflyslip/http/http_client.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "fireflyslip/core/result.h"
@@ -66,7 +67,8 @@
   /// Servers close idle connections; one idle for longer is not reused.
   duration max_idle_time = seconds(20);
   std::size_t max_idle_connections = 8;  ///< Per endpoint.
-  std::size_t max_body_bytes = 64UL << 20;
+  /// Longest body that `http_client::Request()` collects.
+  std::size_t max_body_bytes = 8UL << 20;
   /// Whether connections are reset when closed (SO_LINGER with timeout 0).
   /// Otherwise request bytes buffered during a network partition would be
   /// delivered when it heals, long after the request was abandoned.
@@ -87,18 +89,22 @@
   /// \brief Sends a request and reads the whole response.
   ///
   /// Fails with `kNoUpstream` if no connection was established, so that nothing
-  /// was sent, and with `kUpstreamFailed` if the outcome is unknown. A request
-  /// that fails on a reused connection is not retried.
+  /// was sent, and with `kUpstreamFailed` if the outcome is unknown. A response
+  /// with more bytes than expected fails with `kResponseTooLarge`, and its
+  /// connection is closed. A request that fails on a reused connection is not
+  /// retried.
   /// \param timeout for the whole response, or only for its head if
   /// `read_timeout` is set.
   /// \param read_timeout longest time between two parts of the body; zero for
   /// none. A large body may take long on a saturated link, and a retry would
   /// transfer it again from the beginning.
+  /// \param max_body_bytes limit of this response instead of that of all.
   boost::asio::awaitable<result<http_response>> Request(
       http_endpoint endpoint,
       http_request request,
       duration timeout,
-      duration read_timeout = {});
+      duration read_timeout = {},
+      std::optional<std::size_t> max_body_bytes = std::nullopt);
 
   /// \brief Sends a request and reads only the head of the response.
   /// \param max_idle longest idle time of a reused connection; zero for a new
@@ -120,7 +126,7 @@
   /// idle for too long; to be called periodically.
   void PruneIdleConnections();
 
-  /// \brief Bodies above this size fail with `kUpstreamFailed`.
+  /// \brief Sets the longest body that `Request()` collects.
   void set_body_limit(std::size_t bytes);
 
  private:
--- a/include/fireflyslip/http/http_server.h
+++ b/include/fireflyslip/http/http_server.h
@@ -49,6 +49,10 @@
   duration read_timeout = seconds(15);
 };
 
+/// \brief Limits of a server whose requests have no body, such as those between
+/// the processes of the system.
+http_limits BodilessRequestLimits();
+
 /// \brief HTTP/1.1 server on one `io_context`.
 class http_server {
  public:
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -10,7 +10,7 @@
 using enum error_kind;
 using enum outcome;
 
-constexpr std::array<error_response, 21> kErrorResponses = {{
+constexpr std::array<error_response, 22> kErrorResponses = {{
     {kInvalidRequest, "invalid_request", "The request is not valid.", 400,
      kNotRun, false},
     {kUnauthorized, "unauthorized", "The caller key is missing or unknown.",
@@ -45,6 +45,8 @@
      "The model version changed during the answer.", 502, kUnknown, true},
     {kUpstreamFailed, "upstream_failed", "The upstream failed.", 502, kUnknown,
      true},
+    {kResponseTooLarge, "response_too_large",
+     "The response of the upstream exceeds a limit.", 502, kUnknown, true},
     {kCorruptData, "corrupt_data", "Data failed its digest check.", 502,
      kNotRun, true},
     {kProtocolError, "protocol_error", "The peer broke the protocol.", 400,
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -43,12 +43,12 @@
                   [this] { control_.stop(); }),
         feed_(control_, settings, FeedHandlers(), seed_),
         ready_server_(control_,
-                      {},
+                      BodilessRequestLimits(),
                       [this](http_request request, response_writer& writer) {
                         return ServeReady(std::move(request), writer);
                       }),
         metrics_server_(control_,
-                        {},
+                        BodilessRequestLimits(),
                         [this](http_request request, response_writer& writer) {
                           return ServeMetrics(std::move(request), writer);
                         }) {}
@@ -142,6 +142,8 @@
   awaitable<void> ServeMetrics(http_request /*request*/,
                                response_writer& writer) {
     http_response response;
+    counters_.Set("responses_over_limit", {},
+                  static_cast<double>(OversizeResponses()));
     response.body = counters_.Render();
     co_await writer.Send(std::move(response));
   }
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "fireflyslip/http/response_limit.h"
 #include "fireflyslip/http/socket_options.h"
 
 namespace fireflyslip {
@@ -122,7 +123,8 @@
   awaitable<result<http_response>> Request(http_endpoint endpoint,
                                            http_request request,
                                            duration timeout,
-                                           duration read_timeout) {
+                                           duration read_timeout,
+                                           std::size_t max_body_bytes) {
     const auto self = shared_from_this();
     const auto deadline = clock_type::now() + timeout;
     result<std::shared_ptr<response_reader>> opened = co_await Open(
@@ -141,11 +143,11 @@
       if (!IsOk(part)) {
         co_return ErrorOf(part);
       }
-      response.body += ValueOf(part);
-      if (response.body.size() > options_.max_body_bytes) {
-        co_return MakeError(endpoint, error_kind::kUpstreamFailed,
-                            "response body exceeds the limit");
+      if (response.body.size() + ValueOf(part).size() > max_body_bytes) {
+        co_return RejectOversizeResponse(endpoint, response_part::kBody,
+                                         max_body_bytes);
       }
+      response.body += ValueOf(part);
     }
     reader->ReleaseConnection();
     co_return response;
@@ -414,12 +416,15 @@
 
 http_client::~http_client() = default;
 
-awaitable<result<http_response>> http_client::Request(http_endpoint endpoint,
-                                                      http_request request,
-                                                      duration timeout,
-                                                      duration read_timeout) {
-  return state_->Request(std::move(endpoint), std::move(request), timeout,
-                         read_timeout);
+awaitable<result<http_response>> http_client::Request(
+    http_endpoint endpoint,
+    http_request request,
+    duration timeout,
+    duration read_timeout,
+    std::optional<std::size_t> max_body_bytes) {
+  return state_->Request(
+      std::move(endpoint), std::move(request), timeout, read_timeout,
+      max_body_bytes.value_or(state_->options().max_body_bytes));
 }
 
 awaitable<result<std::shared_ptr<response_reader>>> http_client::Open(
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,3 +1,4 @@
+    constexpr std::size_t kReadSize = 4096;  // bytes
 #include "fireflyslip/http/http_server.h"
 
 #include <algorithm>
@@ -456,7 +457,6 @@
   awaitable<void> WaitForData(Stream& stream,
                               beast::flat_buffer& buffer,
                               beast::error_code& code) {
-    constexpr std::size_t kReadSize = 4096;  // bytes
     beast::get_lowest_layer(stream).expires_after(limits_.idle_timeout);
     const std::size_t size = co_await stream.async_read_some(
         buffer.prepare(kReadSize), RedirectError(code));
@@ -476,6 +476,12 @@
   bool close_requested_ = false;
 };
 
+http_limits BodilessRequestLimits() {
+  http_limits limits;
+  limits.max_body_bytes = 0;
+  return limits;
+}
+
 http_server::http_server(asio::io_context& context,
                          http_limits limits,
                          handler handle,
--- a/src/node/catalog_relay.cc
+++ b/src/node/catalog_relay.cc
@@ -68,7 +68,7 @@
       data_centre_(settings.data_centre),
       timers_(context),
       server_(context,
-              {},
+              BodilessRequestLimits(),
               [this](http_request request, response_writer& writer) {
                 return Serve(std::move(request), writer);
               }),
--- a/src/node/configuration_message.h
+++ b/src/node/configuration_message.h
@@ -22,8 +22,9 @@
 /// routes and keys, compressed.
 inline constexpr char kServicesPath[] = "/configuration/services";
 
-/// \brief Longest content of a configuration.
-inline constexpr std::size_t kMaxConfigurationBytes = 64UL << 20;
+/// \brief Longest content of a configuration. The store limits an object to
+/// about 1 MB.
+inline constexpr std::size_t kMaxConfigurationBytes = 8UL << 20;
 
 /// \brief Path and query of the request for the changes after a version.
 std::string ConfigurationChangesTarget(const content_id& known);
--- a/src/node/relay_client.cc
+++ b/src/node/relay_client.cc
@@ -32,9 +32,13 @@
 /// Relays in use of other data centres, which follow the store already.
 constexpr std::size_t kMaxRemoteRelays = 2;
 
+/// Longest response of a relay; its content is compressed.
+constexpr std::size_t kMaxResponseBytes = 4UL << 20;
+
 http_client_options ClientOptions() {
   http_client_options options;
   options.connect_timeout = kConnectTimeout;
+  options.max_body_bytes = kMaxResponseBytes;
   return options;
 }
 
--- a/src/node/relay_message.cc
+++ b/src/node/relay_message.cc
@@ -19,8 +19,8 @@
 using nlohmann::json;
 
 constexpr std::string_view kPath = "/catalog";
-/// Some 100,000 upstreams.
-constexpr std::size_t kMaxAnswerBytes = 16UL << 20;
+/// Some 50,000 upstreams.
+constexpr std::size_t kMaxAnswerBytes = 8UL << 20;
 constexpr std::string_view kConfigurationParameter = "configuration";
 constexpr std::string_view kUpstreamsParameter = "upstreams";
 constexpr std::string_view kVersionsParameter = "versions";
--- a/src/stager/chunk_server.cc
+++ b/src/stager/chunk_server.cc
@@ -123,7 +123,7 @@
       overdue_(std::move(overdue)),
       pacer_(bytes_per_second),
       server_(context,
-              {},
+              BodilessRequestLimits(),
               [this](http_request request, response_writer& writer) {
                 return Serve(std::move(request), writer);
               }) {}
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -37,6 +37,8 @@
 /// One chunk takes 42 ms on an idle link of a VM; several transfers share it.
 constexpr milliseconds kChunkTimeout{2500};
 constexpr milliseconds kLocalReplicaTimeout{1000};
+/// Longest chunk if the configuration does not state the length of chunks.
+constexpr std::size_t kDefaultMaxChunkBytes = 4UL << 20;
 /// Fraction of the VM's link bandwidth that chunks may use; the rest is for the
 /// streams of the replica, which must not stall between events.
 constexpr double kLinkFraction = 0.85;
@@ -394,7 +396,8 @@
   request.target = ManifestPath(version);
   request.fields.push_back({kModelField, model_.value()});
   const auto answer =
-      co_await peer_client_.Request(peer, std::move(request), kManifestTimeout);
+      co_await peer_client_.Request(peer, std::move(request), kManifestTimeout,
+                                    duration(0), platform::kMaxManifestBytes);
   if (!IsOk(answer)) {
     co_return ErrorOf(answer);
   }
@@ -484,7 +487,12 @@
   core_.Handle(change);
 }
 
+std::size_t stager::MaxChunkBytes() const {
+  return chunk_bytes_ > 0 ? chunk_bytes_ : kDefaultMaxChunkBytes;
+}
+
 awaitable<result<std::string>> stager::ReadBody(
+    http_endpoint peer,
     std::shared_ptr<response_reader> reader) {
   const time_point deadline = MonotonicNow() + kChunkTimeout;
   std::string body;
@@ -494,6 +502,10 @@
     if (!IsOk(part)) {
       co_return ErrorOf(part);
     }
+    if (body.size() + ValueOf(part).size() > MaxChunkBytes()) {
+      co_return RejectOversizeResponse(peer, response_part::kBody,
+                                       MaxChunkBytes());
+    }
     body += ValueOf(part);
   }
   reader->ReleaseConnection();
@@ -518,8 +530,8 @@
   duration transfer{0};
   std::optional<duration> overdue;
   if (order.source.kind == source_kind::kLocalReplica) {
-    bytes =
-        co_await engine_.ReadStagedChunk(model_, chunk, kLocalReplicaTimeout);
+    bytes = co_await engine_.ReadStagedChunk(model_, chunk, MaxChunkBytes(),
+                                             kLocalReplicaTimeout);
   } else if (order.source.kind == source_kind::kOrigin) {
     const std::size_t rank = core_.core().origin_rank(chunk);
     if (rank > 0) {
@@ -527,7 +539,8 @@
               " chunk=" + std::to_string(chunk) +
               " rank=" + std::to_string(rank));
     }
-    bytes = co_await origin_->ReadChunk(model_, version, chunk, kChunkTimeout);
+    bytes = co_await origin_->ReadChunk(model_, version, chunk, MaxChunkBytes(),
+                                        kChunkTimeout);
     RecordOriginAnswer(bytes);
   } else {
     const http_endpoint peer{order.source.address,
@@ -541,7 +554,7 @@
       const std::shared_ptr<response_reader> reader = ValueOf(answer);
       const time_point started_at = MonotonicNow();
       overdue = ParseOverdue(reader->head().Field(kOverdueField));
-      bytes = co_await ReadBody(reader);
+      bytes = co_await ReadBody(peer, reader);
       transfer = MonotonicNow() - started_at;
     } else {
       bytes = ErrorOf(answer);
@@ -615,8 +628,8 @@
   weight_stager::verify_ended ended;
   ended.chunk = order.chunk;
   ended.read_at = MonotonicNow();
-  const auto bytes = co_await engine_.ReadStagedChunk(model_, order.chunk,
-                                                      kLocalReplicaTimeout);
+  const auto bytes = co_await engine_.ReadStagedChunk(
+      model_, order.chunk, MaxChunkBytes(), kLocalReplicaTimeout);
   if (version != chunks_.version()) {
     co_return;  // superseded
   }
--- a/src/stager/stager.h
+++ b/src/stager/stager.h
@@ -70,8 +70,12 @@
   /// \brief Reads peers and relays from the store.
   boost::asio::awaitable<void> ListPeers();
   void SetPeers();
-  static boost::asio::awaitable<result<std::string>> ReadBody(
+  /// \brief Reads a chunk that another agent sends.
+  boost::asio::awaitable<result<std::string>> ReadBody(
+      http_endpoint peer,
       std::shared_ptr<response_reader> reader);
+  /// \brief Longest chunk, in bytes.
+  std::size_t MaxChunkBytes() const;
   boost::asio::awaitable<void> Fetch(weight_stager::fetch order);
   /// \brief `weight_stager::Overdue()`; nothing if the version is not staged.
   std::optional<duration> Overdue(std::uint64_t version,
--- a/src/stager/stager_daemon.cc
+++ b/src/stager/stager_daemon.cc
@@ -15,9 +15,11 @@
 constexpr int kExitOk = 0;
 constexpr int kExitCannotListen = 1;
 
-boost::asio::awaitable<void> ServeMetrics(const metrics& counters,
+boost::asio::awaitable<void> ServeMetrics(metrics& counters,
                                           response_writer& writer) {
   http_response response;
+  counters.Set("responses_over_limit", {},
+               static_cast<double>(OversizeResponses()));
   response.body = counters.Render();
   co_await writer.Send(std::move(response));
 }
@@ -50,7 +52,8 @@
     return FailStart(ErrorOf(started));
   }
   http_server metrics_server(
-      context, {}, [&counters](http_request, response_writer& writer) {
+      context, BodilessRequestLimits(),
+      [&counters](http_request, response_writer& writer) {
         return ServeMetrics(counters, writer);
       });
   const auto served = metrics_server.Listen(settings.MetricsEndpoint());
--- a/tests/node/fake_store.h
+++ b/tests/node/fake_store.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_NODE_FAKE_STORE_H_
 #define TESTS_NODE_FAKE_STORE_H_
 
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -24,6 +25,7 @@
     kSilent,   ///< Accepts requests and does not respond.
     kRefuses,  ///< Responds with 503.
     kGarbage,  ///< Responds with bytes that are not JSON.
+    kEndless,  ///< Sends a body until the connection is closed.
   };
 
   explicit fake_store(boost::asio::io_context& context)
@@ -45,6 +47,24 @@
     return found == lists_.end() ? 0 : found->second;
   }
   void set_mode(mode value) { mode_ = value; }
+  /// \brief Longest body that was sent in the mode `kEndless`, in bytes.
+  std::size_t longest_body() const { return longest_body_; }
+
+  /// \brief Sends a body until the connection is closed, or for up to 200 MB.
+  static boost::asio::awaitable<std::size_t> SendWithoutEnd(
+      response_writer& writer) {
+    constexpr std::size_t kMaxSent = 200UL << 20;
+    http_response head;
+    bool open = co_await writer.Begin(std::move(head));
+    std::size_t sent = 0;
+    while (open && sent < kMaxSent) {
+      std::string part(64UL << 10, 'x');
+      sent += part.size();
+      open = co_await writer.Write(std::move(part));
+    }
+    writer.Abort();
+    co_return sent;
+  }
 
   /// \brief Copies the objects and the revision for `Restore()`.
   void Snapshot() {
@@ -136,6 +156,11 @@
       co_await writer.Send(std::move(response));
       co_return;
     }
+    if (mode_ == mode::kEndless) {
+      const std::size_t sent = co_await SendWithoutEnd(writer);
+      longest_body_ = std::max(longest_body_, sent);
+      co_return;
+    }
     if (mode_ == mode::kGarbage) {
       response.body = "\x80{{{]";
       co_await writer.Send(std::move(response));
@@ -232,6 +257,7 @@
   std::size_t calls_ = 0;
   std::map<std::string, std::size_t> lists_;  // by kind
   mode mode_ = mode::kUp;
+  std::size_t longest_body_ = 0;
 };
 
 }  // namespace fireflyslip
--- a/tests/stager/stager_test.cc
+++ b/tests/stager/stager_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
@@ -70,6 +71,10 @@
                                             response_writer& writer) {
     http_response response;
     const std::string path(request.path());
+    if (!endless_path_.empty() && path.starts_with(endless_path_)) {
+      co_await SendWithoutEnd(writer);
+      co_return;
+    }
     const std::string model = path.substr(path.rfind('/') + 1);
     const auto parameter = [&](std::string_view name) {
       const std::string text(request.QueryParameter(name));
@@ -109,6 +114,32 @@
     co_await writer.Send(std::move(response));
   }
 
+  boost::asio::awaitable<void> SendWithoutEnd(response_writer& writer) {
+    const std::size_t sent = co_await fake_store::SendWithoutEnd(writer);
+    longest_body_ = std::max(longest_body_, sent);
+  }
+
+  /// Adds a VM whose chunk server or relay sends bodies without end.
+  void AddEndlessPeer(std::uint16_t port) {
+    store_.PutUpstream("i-2", "127.0.0.2:1");
+    peer_ = std::make_unique<http_server>(
+        context_, http_limits{},
+        [this](http_request /*request*/, response_writer& writer) {
+          return SendWithoutEnd(writer);
+        });
+    EXPECT_TRUE(IsOk(peer_->Listen({"127.0.0.2", port})));
+  }
+
+  /// Runs until some bodies without end were given up.
+  void ExpectEndlessBodiesGivenUp() {
+    const std::uint64_t before = OversizeResponses();
+    ASSERT_TRUE(IsOk(stager_->Start()));
+    EXPECT_TRUE(RunUntil([&] { return OversizeResponses() >= before + 3; }));
+    context_.run_for(milliseconds(100));
+    EXPECT_LT(std::max(longest_body_, store_.longest_body()),
+              kMaxBytesWithoutEnd);
+  }
+
   std::string ManifestOf(const std::string& model, std::uint64_t version) {
     nlohmann::json digests = nlohmann::json::array();
     for (std::size_t i = 0; i < kChunks; ++i) {
@@ -151,6 +182,12 @@
   std::unique_ptr<http_server> replica_;
   node_settings settings_;
   static constexpr std::size_t kChunks = 8;
+  /// Bytes of a body without end that an agent may take; includes what the
+  /// sockets buffer.
+  static constexpr std::size_t kMaxBytesWithoutEnd = 24UL << 20;
+  std::string endless_path_;  // prefix of requests to the replica and origin
+  std::size_t longest_body_ = 0;
+  std::unique_ptr<http_server> peer_;
   bool has_chunks_ = false;  // the origin provides them
   std::map<std::size_t, std::string> staged_;
   std::uint64_t loaded_version_ = 1;
@@ -239,5 +276,48 @@
   EXPECT_EQ(manifest_versions_, (std::set<std::uint64_t>{2, 3}));
 }
 
+/// \brief A replica or origin that sends one kind of body without end.
+class stager_endless_body_test
+    : public stager_test,
+      public testing::WithParamInterface<const char*> {};
+
+// Guards against an agent that collects a body without end and is ended for the
+// memory that it needs.
+TEST_P(stager_endless_body_test, ReplicaOrOrigin_SendsWithoutEnd_GivenUp) {
+  has_chunks_ = true;
+  endless_path_ = GetParam();
+  if (endless_path_ == platform::kStageGetPath) {
+    loaded_version_ = 0;
+  }
+  ExpectEndlessBodiesGivenUp();
+}
+
+INSTANTIATE_TEST_SUITE_P(paths,
+                         stager_endless_body_test,
+                         testing::Values(platform::kReportPath,
+                                         platform::kStageGetPath,
+                                         platform::kStagePutPath,
+                                         platform::kOrderPath,
+                                         platform::kManifestPath,
+                                         platform::kChunkPath));
+
+// Guards against the same for the chunks and manifests of other agents.
+TEST_F(stager_test, Peer_SendsWithoutEnd_GivenUp) {
+  AddEndlessPeer(settings_.ChunkEndpoint().port);
+  ExpectEndlessBodiesGivenUp();
+}
+
+// Guards against the same for relays.
+TEST_F(stager_test, Relay_SendsWithoutEnd_GivenUp) {
+  AddEndlessPeer(settings_.RelayPort());
+  ExpectEndlessBodiesGivenUp();
+}
+
+// Guards against the same for the store.
+TEST_F(stager_test, Store_SendsWithoutEnd_GivenUp) {
+  store_.set_mode(fake_store::mode::kEndless);
+  ExpectEndlessBodiesGivenUp();
+}
+
 }  // namespace
 }  // namespace fireflyslip
