Limit what the parser keeps of a response, and the sum of all responses

One answer without end took a gateway down, and with it eight requests that ran at sound replicas (LOST).

Cause: the limits counted what the parser hands out. A line that is not complete stays in the buffer of the reader, which had no limit. Ruled out: the head, which the parser limits. The buffer is now limited to 16 KB, and 1xx responses to 16; the buffer of a request is limited as well. A limit for one response does not protect the process, so all responses that a gateway is receiving share a part of its memory (setting memory_mb). A body may grow while it takes no more than what then remains free, so that many without end leave room for sound ones.

--- a/include/fireflyslip/http.h
+++ b/include/fireflyslip/http.h
@@ -7,6 +7,7 @@
 #include "fireflyslip/http/http_client.h"
 #include "fireflyslip/http/http_message.h"
 #include "fireflyslip/http/http_server.h"
+#include "fireflyslip/http/memory_budget.h"
 #include "fireflyslip/http/problem.h"
 #include "fireflyslip/http/response_limit.h"
 #include "fireflyslip/http/socket_options.h"
--- a/include/fireflyslip/http/event_stream_parser.h
+++ b/include/fireflyslip/http/event_stream_parser.h
@@ -12,6 +12,8 @@
  public:
   /// \brief Appends bytes and returns the data of each event completed by them.
   std::vector<std::string> Feed(std::string_view bytes);
+  /// \brief Length of the event that is not complete yet.
+  std::size_t partial_event_bytes() const { return pending_.size(); }
 
  private:
   std::string pending_;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -462,6 +462,7 @@
   const bool repeatable =
       route_->idempotency_class != request_idempotency::kNonIdempotent;
   http_response response = WithoutHopByHopFields(reader->head());
+  memory_reservation held(gateway_.response_memory());
   while (!reader->complete()) {
     const duration read_timeout =
         repeatable ? std::min(ReadTimeout(), RemainingTime()) : RemainingTime();
@@ -469,10 +470,15 @@
     if (!IsOk(part)) {
       co_return MakeFailureReport(started_at, read_timeout, ErrorOf(part));
     }
-    response.body += ValueOf(part);
-    if (response.body.size() > kMaxResponseBytes) {
-      co_return OversizeReport("response is too long");
+    const std::size_t size = response.body.size() + ValueOf(part).size();
+    if (size > kMaxResponseBytes) {
+      co_return OversizeReport(response_part::kBody, kMaxResponseBytes);
+    }
+    if (!held.Resize(size)) {
+      co_return OversizeReport(response_part::kTotal,
+                               gateway_.response_memory()->max_bytes());
     }
+    response.body += ValueOf(part);
   }
   reader->ReleaseConnection();
   attempt_report report;
@@ -511,6 +517,7 @@
     std::shared_ptr<response_reader> reader) {
   attempt_report report;
   cursor_.Restart();
+  memory_reservation held(gateway_.response_memory());
   // Only complete events count as progress: a stalled upstream may still send a
   // byte now and then.
   time_point progress_at = MonotonicNow();
@@ -526,7 +533,11 @@
     }
     std::string events = cursor_.Feed(ValueOf(part));
     if (cursor_.partial_event_bytes() > kMaxEventBytes) {
-      co_return OversizeReport("event is too long");
+      co_return OversizeReport(response_part::kEvent, kMaxEventBytes);
+    }
+    if (!held.Resize(cursor_.partial_event_bytes())) {
+      co_return OversizeReport(response_part::kTotal,
+                               gateway_.response_memory()->max_bytes());
     }
     if (events.empty()) {
       continue;
@@ -561,10 +572,14 @@
   co_return report;
 }
 
-exchange::attempt_report exchange::OversizeReport(const std::string& detail) {
+exchange::attempt_report exchange::OversizeReport(response_part part,
+                                                  std::size_t limit) const {
   attempt_report report;
   report.status = attempt_status::kFailed;
-  report.detail = detail;
+  const auto server = ParseHttpEndpoint(placement_->upstream.address);
+  report.detail =
+      RejectOversizeResponse(server.value_or(http_endpoint{}), part, limit)
+          .detail;
   return report;
 }
 
@@ -697,7 +712,9 @@
   const bool timed_out = MonotonicNow() - started_at >= read_timeout;
   report.status =
       timed_out ? attempt_status::kUnreachable : attempt_status::kFailed;
-  report.interrupted = !timed_out;
+  // An upstream that sends too much has not crashed.
+  report.interrupted =
+      !timed_out && problem.kind != error_kind::kResponseTooLarge;
   return report;
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -93,7 +93,8 @@
                                    duration read_timeout,
                                    const error& problem) const;
   /// \brief Report of an attempt whose response exceeds a size limit.
-  static attempt_report OversizeReport(const std::string& detail);
+  /// \brief Report of a response that exceeds a limit.
+  attempt_report OversizeReport(response_part part, std::size_t limit) const;
   duration RemainingTime() const;
   duration ReadTimeout() const;
   duration EstimatedPrefillTime() const;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -35,6 +35,9 @@
 /// Interval at which new evidence of crashes is sent to the stagers.
 constexpr milliseconds kCrashNoticeInterval{100};
 constexpr std::size_t kMaxClientConnections = 3000;
+/// Part of the memory of the process for responses that are being received. The
+/// strings that collect them may take twice their length.
+constexpr std::size_t kResponseMemoryDivisor = 5;
 
 duration Scale(duration value, double factor) {
   return FromSeconds(ToSeconds(value) * factor);
@@ -98,6 +101,8 @@
       dispatcher_(MakeDispatcher(settings, seed),
                   timers_,
                   [this](const dispatcher::action& action) { Apply(action); }),
+      response_memory_(std::make_shared<memory_budget>(settings_.memory_bytes /
+                                                       kResponseMemoryDivisor)),
       upstream_client_(context, ClientOptions()),
       server_(context,
               ServerLimits({}),
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -71,6 +71,10 @@
   double RetryAllowance() const;
   double Random() { return random_.Fraction(); }
   crash_monitor& crashes() { return crashes_; }
+  /// \brief Memory of all responses that are being received.
+  const std::shared_ptr<memory_budget>& response_memory() const {
+    return response_memory_;
+  }
 
  private:
   boost::asio::awaitable<void> Serve(http_request request,
@@ -93,6 +97,7 @@
   timer_service timers_;
   std::map<dispatch_id, exchange*> exchanges_;
   core_driver<dispatcher> dispatcher_;
+  std::shared_ptr<memory_budget> response_memory_;
   http_client upstream_client_;
   http_server server_;
   boost::asio::ip::udp::socket report_socket_;
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -26,6 +26,11 @@
 using clock_type = std::chrono::steady_clock;
 
 constexpr std::size_t kReadSize = 8UL << 10;  // bytes
+constexpr std::uint32_t kMaxHeadBytes = 8 << 10;
+/// Bytes that have been received and not been parsed: a head, or framing of the
+/// body, which the parser takes only as a whole.
+constexpr std::size_t kMaxBufferedBytes = 16UL << 10;
+constexpr std::size_t kMaxInterimResponses = 16;
 /// A longer body is written while the response is read, because a server may
 /// respond before it has read the body and may stop reading it.
 constexpr std::size_t kConcurrentWriteThreshold = 16UL << 10;  // bytes
@@ -272,23 +277,24 @@
     }
   }
 
-  awaitable<beast::error_code> ReadHead(duration timeout) {
+  awaitable<status> ReadHead(duration timeout) {
     stream_->expires_after(timeout);
-    for (;;) {
+    for (std::size_t interim = 0; interim <= kMaxInterimResponses; ++interim) {
       beast::error_code code;
       co_await http::async_read_header(*stream_, buffer_, *parser_,
                                        RedirectError(code));
       if (code) {
-        co_return code;
+        co_return ReadError(code);
       }
       constexpr unsigned kFirstFinalStatus = 200;
       if (parser_->get().result_int() >= kFirstFinalStatus) {
-        break;
+        head_ = ToHead(parser_->get());
+        co_return std::monostate{};
       }
       ResetParser();  // interim response (1xx)
     }
-    head_ = ToHead(parser_->get());
-    co_return beast::error_code();
+    co_return RejectOversizeResponse(endpoint_, response_part::kInterim,
+                                     kMaxInterimResponses);
   }
 
   const http_response& head() const override { return head_; }
@@ -308,8 +314,7 @@
         code = {};
       }
       if (code) {
-        co_return MakeError(endpoint_, error_kind::kUpstreamFailed,
-                            code.message());
+        co_return ReadError(code);
       }
       const std::size_t size = part.size() - parser_->get().body().size;
       if (size > 0) {
@@ -338,6 +343,19 @@
   void ResetParser() {
     parser_.emplace();
     parser_->body_limit(boost::none);
+    parser_->header_limit(kMaxHeadBytes);
+  }
+
+  error ReadError(const beast::error_code& code) const {
+    if (code == http::error::header_limit) {
+      return RejectOversizeResponse(endpoint_, response_part::kHead,
+                                    kMaxHeadBytes);
+    }
+    if (code == http::error::buffer_overflow) {
+      return RejectOversizeResponse(endpoint_, response_part::kFraming,
+                                    kMaxBufferedBytes);
+    }
+    return MakeError(endpoint_, error_kind::kUpstreamFailed, code.message());
   }
 
   std::weak_ptr<Pool> pool_;
@@ -346,7 +364,7 @@
   const bool connection_reused_;
   std::shared_ptr<call_canceller> canceller_;
   std::shared_ptr<bool> request_written_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxBufferedBytes};
   std::optional<http::response_parser<http::buffer_body>> parser_;
   http_response head_;
 };
@@ -402,12 +420,13 @@
   }
   auto reader = std::make_shared<body_reader<state>>(
       self, endpoint, connection, canceller, request_written);
-  if (!code) {
-    code = co_await reader->ReadHead(remaining);
-  }
   if (code) {
     co_return MakeError(endpoint, error_kind::kUpstreamFailed, code.message());
   }
+  const status received = co_await reader->ReadHead(remaining);
+  if (!IsOk(received)) {
+    co_return ErrorOf(received);
+  }
   co_return std::static_pointer_cast<response_reader>(reader);
 }
 
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,4 +1,3 @@
-    constexpr std::size_t kReadSize = 4096;  // bytes
 #include "fireflyslip/http/http_server.h"
 
 #include <algorithm>
@@ -30,6 +29,7 @@
 using tls_stream = beast::ssl_stream<beast::tcp_stream>;
 
 constexpr seconds kWriteTimeout{30};
+constexpr std::size_t kReadSize = 4096;  // bytes
 constexpr milliseconds kAcceptRetryDelay{50};
 /// Time that a client has for its first request on a connection that was
 /// accepted shortly before the server was drained.
@@ -222,6 +222,10 @@
     return error{error_kind::kHeaderTooLarge,
                  "request header exceeds the limit"};
   }
+  if (code == http::error::buffer_overflow) {
+    return error{error_kind::kProtocolError,
+                 "the framing of the request body exceeds the limit"};
+  }
   if (code == http::error::body_limit) {
     return error{error_kind::kPayloadTooLarge,
                  "request body exceeds the limit"};
@@ -412,6 +416,9 @@
   awaitable<bool> ServeRequest(Stream& stream,
                                client_connection& connection,
                                beast::flat_buffer& buffer) {
+    // Unparsed bytes: a header, or framing of the body.
+    buffer.max_size(std::max(limits_.max_header_bytes, buffer.size()) +
+                    kReadSize);
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
     parser.body_limit(limits_.max_body_bytes);
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -83,6 +83,10 @@
   if (auto rate = reader.Number("link_mbps", false, number_range{})) {
     settings.link_mbps = *rate;
   }
+  if (auto size = reader.Number("memory_mb", false, number_range{})) {
+    constexpr double kBytesPerMegabyte = 1 << 20;
+    settings.memory_bytes = static_cast<std::size_t>(*size * kBytesPerMegabyte);
+  }
   constexpr double kMaxRetryAllowance = 1e6;
   if (auto count = reader.Number("retry_allowance", false,
                                  {0, true, kMaxRetryAllowance, true})) {
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -35,6 +35,8 @@
   std::uint16_t first_internal_port = 0;
   http_endpoint platform;
   double link_mbps = 1000;  ///< Bandwidth of the VM's network link.
+  /// Memory of the process, in bytes; from `memory_mb`, in units of 2^20.
+  std::size_t memory_bytes = 128UL << 20;
   duration drain_timeout = seconds(8);
   /// Time after which a draining upstream must receive no new requests.
   duration upstream_drain_timeout = seconds(2);
--- a/src/program/upstream_call.cc
+++ b/src/program/upstream_call.cc
@@ -14,6 +14,7 @@
 
 constexpr char kCompletionsPath[] = "/v1/chat/completions";
 constexpr char kEndOfStream[] = "[DONE]";
+constexpr std::size_t kMaxEventBytes = 1UL << 20;
 constexpr int kServiceUnavailable = 503;
 constexpr int kConflict = 409;
 
@@ -117,7 +118,12 @@
           error_kind::kUpstreamFailed,
           "the engine closed the stream before the end of the answer"};
     }
-    for (std::string& data : parser.Feed(ValueOf(bytes))) {
+    std::vector<std::string> events = parser.Feed(ValueOf(bytes));
+    if (parser.partial_event_bytes() > kMaxEventBytes) {
+      co_return RejectOversizeResponse(upstream_, response_part::kEvent,
+                                       kMaxEventBytes);
+    }
+    for (std::string& data : events) {
       if (data == kEndOfStream) {
         co_return upstream_result{200, "text/event-stream", {}};
       }
--- a/tests/gateway/faulty_upstream_test.cc
+++ b/tests/gateway/faulty_upstream_test.cc
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
+#include <vector>
 
 #include "gateway/gateway_fixture.h"
 
@@ -242,5 +244,45 @@
   EXPECT_TRUE(received.complete);
 }
 
+// Guards against many responses without end that together take the memory of
+// the gateway, or that leave none for the responses of sound upstreams.
+TEST_F(faulty_upstream_test, ManyResponses_WithoutEnd_TotalLimited) {
+  constexpr std::size_t kRequests = 8;  // the slots of the upstream
+  Configure();
+  // Each keeps its connection open below the limit of one response.
+  constexpr std::size_t kLength = 7UL << 20;
+  AddUpstream([&](http_request request,
+                  response_writer& writer) -> boost::asio::awaitable<void> {
+    http_response head = MakeResponse(200, "");
+    head.fields[0].value = std::string(request.Field("Attempt-Id"));
+    bool open = co_await writer.Begin(std::move(head));
+    std::size_t sent = 0;
+    while (open && sent < kLength) {
+      std::string part(64UL << 10, 'x');
+      sent += part.size();
+      open = co_await writer.Write(std::move(part));
+    }
+    boost::asio::steady_timer timer(context_, seconds(3));
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    writer.Abort();
+  });
+  std::vector<std::optional<result<http_response>>> answers(kRequests);
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    boost::asio::co_spawn(
+        context_,
+        Send(MakeNumbered("/book/1", "id" + std::to_string(i)), answers[i]),
+        boost::asio::detached);
+  }
+  std::size_t most = 0;
+  while (std::any_of(answers.begin(), answers.end(),
+                     [](const auto& answer) { return !answer; })) {
+    context_.run_one();
+    most = std::max(most, gateway_->response_memory()->used());
+  }
+  EXPECT_GT(most, 0U);
+  EXPECT_LE(most, settings_.memory_bytes / 5);
+  EXPECT_EQ(gateway_->response_memory()->used(), 0U);
+}
+
 }  // namespace
 }  // namespace fireflyslip
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -4,8 +4,12 @@
 
 #include <array>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <string>
 #include <utility>
@@ -162,5 +166,79 @@
   EXPECT_EQ(closed, boost::asio::error::connection_refused);
 }
 
+/// \brief Bytes that repeat after the start of a request.
+struct endless_request {
+  const char* name;
+  std::string start;
+  std::string repeated;
+};
+
+/// \brief Server of a client that sends bytes without end.
+class endless_request_test : public testing::TestWithParam<endless_request> {
+ protected:
+  static constexpr std::size_t kMaxTaken = 24UL << 20;
+  static constexpr std::size_t kMaxSent = 200UL << 20;
+
+  awaitable<void> SendWithoutEnd(http_endpoint server) {
+    tcp::socket socket(context_);
+    boost::system::error_code code;
+    co_await socket.async_connect(
+        tcp::endpoint(boost::asio::ip::address_v4::loopback(), server.port),
+        boost::asio::redirect_error(boost::asio::use_awaitable, code));
+    std::string part = GetParam().start;
+    std::string repeated;
+    while (repeated.size() < (64UL << 10)) {
+      repeated += GetParam().repeated;
+    }
+    while (!code && sent_ < kMaxSent) {
+      co_await boost::asio::async_write(
+          socket, boost::asio::buffer(part),
+          boost::asio::redirect_error(boost::asio::use_awaitable, code));
+      sent_ += part.size();
+      part = repeated;
+    }
+    closed_ = true;
+  }
+
+  boost::asio::io_context context_{1};
+  std::size_t sent_ = 0;
+  bool closed_ = false;
+};
+
+// Guards against a client that takes the memory of the process with bytes that
+// the parser keeps until they are complete.
+TEST_P(endless_request_test, Bytes_WithoutEnd_RejectedAndClosed) {
+  http_server server(
+      context_, http_limits{},
+      [](http_request, response_writer& writer) -> awaitable<void> {
+        http_response answer;
+        co_await writer.Send(std::move(answer));
+      });
+  const auto port = server.Listen({"127.0.0.1", 0});
+  ASSERT_TRUE(IsOk(port));
+  boost::asio::co_spawn(context_, SendWithoutEnd({"127.0.0.1", ValueOf(port)}),
+                        boost::asio::detached);
+  while (!closed_) {
+    ASSERT_GT(context_.run_one_for(std::chrono::seconds(20)), 0U);
+  }
+  EXPECT_LT(sent_, kMaxTaken);
+}
+
+constexpr char kChunkedHead[] =
+    "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    parts,
+    endless_request_test,
+    testing::Values(
+        endless_request{"target", "GET /", "x"},
+        endless_request{"field", "GET / HTTP/1.1\r\nX: ", "x"},
+        endless_request{"chunk_extension",
+                        std::string(kChunkedHead) + "4;a=", "x"},
+        endless_request{"trailer", std::string(kChunkedHead) + "0\r\nX: ", "x"},
+        endless_request{"body", std::string(kChunkedHead),
+                        "400\r\n" + std::string(1024, 'x') + "\r\n"}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace fireflyslip
--- a/tests/node/node_settings_test.cc
+++ b/tests/node/node_settings_test.cc
@@ -27,7 +27,7 @@
   const auto settings =
       Parse(Text(R"(, "callers": "10.0.0.1:1", "ready": "10.0.0.1:2",
                      "key_revocation_ms": 5000, "upstream_drain_ms": 4000,
-                     "link_mbps": 9.4)"),
+                     "link_mbps": 9.4, "memory_mb": 260)"),
             node_role::kGateway);
   ASSERT_TRUE(IsOk(settings)) << ErrorOf(settings).detail;
   EXPECT_EQ(ValueOf(settings).client_endpoint->port, 1);
