Bound the bodies of all requests of a server together

The gateway would end with all its requests.

The bodies that a server is receiving or serving now share a part of its memory, by the rule for responses; short requests fit beside any number of long ones. A request that does not fit is refused with 503 before it has run, and before its body is read if it states its length. A client that is rejected while it sends has a second to read the response, because a connection that is closed with unread bytes is reset. All attempts of a request send one copy of its body, where each made its own.

--- a/include/fireflyslip/http/http_message.h
+++ b/include/fireflyslip/http/http_message.h
@@ -2,6 +2,7 @@
 #define FIREFLYSLIP_HTTP_HTTP_MESSAGE_H_
 
 #include <compare>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -29,6 +30,8 @@
   std::string target = "/";
   http_fields fields;
   std::string body;
+  /// Sent instead of `body` if set; copies of the request share it.
+  std::shared_ptr<const std::string> shared_body = nullptr;
 
   auto operator<=>(const http_request&) const = default;
 
--- a/include/fireflyslip/http/http_server.h
+++ b/include/fireflyslip/http/http_server.h
@@ -43,6 +43,8 @@
 struct http_limits {
   std::size_t max_header_bytes = 16UL << 10;
   std::size_t max_body_bytes = 1UL << 20;
+  /// Of all requests that are being received or served.
+  std::size_t max_total_body_bytes = 64UL << 20;
   std::size_t max_connections = 1024;
   duration idle_timeout = seconds(75);
   /// From the first to the last byte of a request.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -86,7 +86,12 @@
       received_at_(MonotonicNow()),
       placement_event_(parent.context()),
       deadline_timer_(parent.context()),
-      cursor_(metadata_.last_event_id) {}
+      cursor_(metadata_.last_event_id) {
+  // All attempts send the same copy.
+  request_.shared_body =
+      std::make_shared<const std::string>(std::move(request_.body));
+  request_.body.clear();
+}
 
 awaitable<void> exchange::Run() {
   const auto self = shared_from_this();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -35,6 +35,8 @@
 /// Interval at which new evidence of crashes is sent to the stagers.
 constexpr milliseconds kCrashNoticeInterval{100};
 constexpr std::size_t kMaxClientConnections = 3000;
+/// Part of the memory of the process for the bodies of requests.
+constexpr std::size_t kRequestMemoryDivisor = 5;
 /// Part of the memory of the process for responses that are being received. The
 /// strings that collect them may take twice their length.
 constexpr std::size_t kResponseMemoryDivisor = 5;
@@ -51,10 +53,13 @@
   return options;
 }
 
-http_limits ServerLimits(const client_limits& limits) {
+http_limits ServerLimits(const client_limits& limits,
+                         const node_settings& settings) {
   http_limits server_limits;
   server_limits.max_header_bytes = limits.header_bytes;
   server_limits.max_body_bytes = limits.body_bytes;
+  server_limits.max_total_body_bytes =
+      settings.memory_bytes / kRequestMemoryDivisor;
   server_limits.max_connections = kMaxClientConnections;
   server_limits.idle_timeout = limits.idle_timeout;
   server_limits.read_timeout = limits.header_timeout + limits.idle_timeout;
@@ -105,7 +110,7 @@
                                                        kResponseMemoryDivisor)),
       upstream_client_(context, ClientOptions()),
       server_(context,
-              ServerLimits({}),
+              ServerLimits({}, settings_),
               [this](http_request request, response_writer& writer) {
                 return Serve(std::move(request), writer);
               }),
@@ -147,7 +152,7 @@
 
 void gateway::SetDeployment(std::shared_ptr<const deployment> catalog) {
   catalog_ = std::move(catalog);
-  server_.set_limits(ServerLimits(catalog_->limits));
+  server_.set_limits(ServerLimits(catalog_->limits, settings_));
 }
 
 void gateway::SetUpstreams(std::shared_ptr<const upstream_map> upstreams) {
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -39,24 +39,32 @@
   return asio::redirect_error(asio::use_awaitable, code);
 }
 
-using request_message = http::request<http::string_body>;
+struct request_message {
+  http::request<http::span_body<const char>> message;
+  std::shared_ptr<const std::string> body;
+};
 
 std::shared_ptr<request_message> ToMessage(http_request&& request,
                                            const http_endpoint& endpoint) {
-  auto message = std::make_shared<request_message>();
-  message->version(11);
-  message->method_string(request.method);
-  message->target(request.target);
+  auto sent = std::make_shared<request_message>();
+  auto& message = sent->message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
   if (request.Field("Host").empty()) {
-    message->set(http::field::host,
-                 endpoint.address + ":" + std::to_string(endpoint.port));
+    message.set(http::field::host,
+                endpoint.address + ":" + std::to_string(endpoint.port));
   }
   for (const http_field& field : request.fields) {
-    message->insert(field.name, field.value);
+    message.insert(field.name, field.value);
   }
-  message->body() = std::move(request.body);
-  message->prepare_payload();
-  return message;
+  sent->body =
+      request.shared_body != nullptr
+          ? std::move(request.shared_body)
+          : std::make_shared<const std::string>(std::move(request.body));
+  message.body() = {sent->body->data(), sent->body->size()};
+  message.prepare_payload();
+  return sent;
 }
 
 template <typename Message>
@@ -374,7 +382,7 @@
     std::shared_ptr<request_message> message,
     std::shared_ptr<bool> request_written) {
   beast::error_code code;
-  co_await http::async_write(*stream, *message, RedirectError(code));
+  co_await http::async_write(*stream, message->message, RedirectError(code));
   *request_written = !code;
   co_return code;
 }
@@ -412,7 +420,7 @@
   stream->expires_after(remaining);
   const auto request_written = std::make_shared<bool>(false);
   beast::error_code code;
-  if (message->body().size() > kConcurrentWriteThreshold) {
+  if (message->body->size() > kConcurrentWriteThreshold) {
     asio::co_spawn(context_, WriteMessage(stream, message, request_written),
                    [](const std::exception_ptr&, const beast::error_code&) {});
   } else {
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,6 +1,7 @@
 #include "fireflyslip/http/http_server.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -14,6 +15,7 @@
 #include <set>
 #include <utility>
 
+#include "fireflyslip/http/memory_budget.h"
 #include "fireflyslip/http/problem.h"
 #include "fireflyslip/http/socket_options.h"
 
@@ -30,6 +32,8 @@
 
 constexpr seconds kWriteTimeout{30};
 constexpr std::size_t kReadSize = 4096;  // bytes
+/// Time for which a client may go on sending after it was rejected.
+constexpr seconds kDiscardTimeout{1};
 constexpr milliseconds kAcceptRetryDelay{50};
 /// Time that a client has for its first request on a connection that was
 /// accepted shortly before the server was drained.
@@ -251,6 +255,8 @@
         acceptor_(context),
         unused_timer_(context),
         limits_(limits),
+        body_memory_(
+            std::make_shared<memory_budget>(limits.max_total_body_bytes)),
         handle_(std::move(handle)),
         tls_(tls) {}
 
@@ -304,7 +310,10 @@
 
   void DisableKeepAlive() { close_requested_ = true; }
 
-  void set_limits(const http_limits& limits) { limits_ = limits; }
+  void set_limits(const http_limits& limits) {
+    limits_ = limits;
+    body_memory_->set_max_bytes(limits.max_total_body_bytes);
+  }
 
   void Stop() {
     draining_ = true;
@@ -422,6 +431,8 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
     parser.body_limit(limits_.max_body_bytes);
+    memory_reservation body_memory(body_memory_);
+    bool fits = true;
     beast::error_code code;
     if (buffer.size() == 0) {
       co_await WaitForData(stream, buffer, code);
@@ -431,20 +442,29 @@
       beast::get_lowest_layer(stream).expires_after(limits_.read_timeout);
       co_await http::async_read_header(stream, buffer, parser,
                                        RedirectError(code));
-      if (!code &&
+      // A stated length is reserved at once: if all bodies grew at the same
+      // time, none of them would be completed.
+      std::size_t size = code ? 0 : parser.content_length().value_or(0);
+      fits = body_memory.Resize(size);
+      if (!code && fits &&
           beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         const http::response<http::empty_body> interim{http::status::continue_,
                                                        parser.get().version()};
         co_await http::async_write(stream, interim, RedirectError(code));
       }
-      if (!code && !parser.is_done()) {
-        co_await http::async_read(stream, buffer, parser, RedirectError(code));
+      while (!code && fits && !parser.is_done()) {
+        co_await http::async_read_some(stream, buffer, parser,
+                                       RedirectError(code));
+        size = std::max(size, parser.get().body().size());
+        fits = body_memory.Resize(size);
       }
     }
-    if (code) {
-      if (const auto problem = ToReadError(code)) {
+    if (code || !fits) {
+      const std::optional<error> problem = code ? ToReadError(code) : TooMuch();
+      if (problem) {
         stream_response_writer<Stream> writer(stream, connection, false);
         co_await writer.Send(ProblemResponse(*problem));
+        co_await DiscardInput(stream);
       }
       co_return false;
     }
@@ -460,6 +480,26 @@
     co_return writer.reusable();
   }
 
+  static error TooMuch() {
+    return {error_kind::kOverloaded,
+            "the bodies of all requests exceed the limit"};
+  }
+
+  /// \brief Reads what the client still sends. A connection that is closed with
+  /// unread bytes is reset, and the client may not see the response.
+  template <typename Stream>
+  awaitable<void> DiscardInput(Stream& stream) {
+    plain_stream& lowest_layer = beast::get_lowest_layer(stream);
+    lowest_layer.expires_after(kDiscardTimeout);
+    beast::error_code code;
+    lowest_layer.socket().shutdown(tcp::socket::shutdown_send, code);
+    std::array<char, kReadSize> discarded{};
+    for (std::size_t size = 0; !code && size < limits_.max_body_bytes;) {
+      size += co_await stream.async_read_some(asio::buffer(discarded),
+                                              RedirectError(code));
+    }
+  }
+
   template <typename Stream>
   awaitable<void> WaitForData(Stream& stream,
                               beast::flat_buffer& buffer,
@@ -474,6 +514,7 @@
   tcp::acceptor acceptor_;
   asio::steady_timer unused_timer_;  // closes connections without a request
   http_limits limits_;
+  std::shared_ptr<memory_budget> body_memory_;
   handler handle_;
   asio::ssl::context* tls_;
   std::set<client_connection*> connections_;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -459,5 +459,55 @@
   EXPECT_EQ(ValueOf(answer).body, "ok");
 }
 
+// Guards against long requests that together take the memory of the gateway, or
+// that keep it from serving short ones.
+TEST_F(gateway_test, LongRequests_ExceedMemory_RefusedWithoutRun) {
+  constexpr std::size_t kLong = 900UL << 10;
+  constexpr std::size_t kRequests = 40;
+  settings_.memory_bytes = 50UL << 20;  // 10 MB for requests
+  gateway_ = std::make_unique<gateway>(context_, settings_, counters_, 1);
+  gateway_endpoint_.port = ValueOf(gateway_->Listen());
+  Configure();
+  std::size_t most_bytes = 0;
+  std::size_t bytes = 0;
+  upstream& server = AddUpstream(
+      [&](http_request request, response_writer& writer) -> awaitable<void> {
+        bytes += request.body.size();
+        most_bytes = std::max(most_bytes, bytes);
+        boost::asio::steady_timer timer(context_, milliseconds(500));
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        bytes -= request.body.size();
+        http_response answer = MakeResponse(200, "ok");
+        answer.fields[0].value = std::string(request.Field("Attempt-Id"));
+        co_await writer.Send(std::move(answer));
+      });
+  std::vector<std::optional<result<http_response>>> answers(kRequests);
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    http_request request = MakeRequest("/book/1");
+    request.fields[1].value = "id" + std::to_string(i);
+    request.body = std::string(kLong, 'x');
+    boost::asio::co_spawn(context_, Send(std::move(request), answers[i]),
+                          boost::asio::detached);
+  }
+  context_.run_for(std::chrono::milliseconds(300));
+  EXPECT_EQ(CallStatus(MakeRequest("/book/1")), 200);  // a short one
+  std::size_t served = 0;
+  std::size_t refused = 0;
+  context_.restart();
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    while (!answers[i]) {
+      context_.run_one();
+    }
+    ASSERT_TRUE(IsOk(*answers[i])) << ErrorOf(*answers[i]).detail;
+    served += ValueOf(*answers[i]).status == 200 ? 1 : 0;
+    refused += ValueOf(*answers[i]).status == 503 ? 1 : 0;
+  }
+  EXPECT_EQ(served + refused, kRequests);
+  EXPECT_GT(served, 0U);
+  EXPECT_GT(refused, 0U);
+  EXPECT_EQ(server.received.size(), served + 1);
+  EXPECT_LE(most_bytes, settings_.memory_bytes / 5);
+}
+
 }  // namespace
 }  // namespace fireflyslip
