Correct a spoilt digest of a manifest with the bytes of its chunk

Cause: a manifest was taken as it came and never read again for the same version. Ruled out: the origin sends the chunk soundly, and an agent that does not copy the manifest from another one is affected, too. If the bytes of a chunk do not match, the agent now reads the manifest once more from the server that sent them, and takes its digest of that chunk if it matches the bytes. A manifest with a wrong number of chunks is rejected.

--- a/src/stager/chunk_store.h
+++ b/src/stager/chunk_store.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fireflyslip/core/digest.h"
@@ -41,6 +42,23 @@
     return true;
   }
 
+  /// \brief Replaces the digest of a chunk that is not stored by that of
+  /// another manifest of the version, and stores the chunk, if its bytes match
+  /// that one. Bytes and a digest that agree prove that the former digest was
+  /// wrong: each may have been corrupted, but not so that they match. Returns
+  /// whether the chunk was stored.
+  bool Correct(std::size_t index,
+               const std::vector<digest>& other_manifest,
+               std::string bytes) {
+    if (index >= chunks_.size() || chunks_[index] != nullptr ||
+        other_manifest.size() != digests_.size() ||
+        digest::Of(bytes) != other_manifest[index]) {
+      return false;
+    }
+    digests_[index] = other_manifest[index];
+    return Put(index, std::move(bytes));
+  }
+
   /// \brief Returns the bytes of a chunk, or null if it is not stored.
   std::shared_ptr<const std::string> Get(std::size_t index) const {
     return index < chunks_.size() ? chunks_[index] : nullptr;
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -304,6 +304,7 @@
       origin_region_ = settings_.RegionOf(other.origin->data_centre);
       origin_link_mbps_ = other.origin->link_mbps;
       chunk_bytes_ = service->engine->chunk_bytes;
+      chunk_count_ = service->engine->chunk_count;
       origin_ = std::make_unique<platform::origin_client>(context_, *endpoint);
       return true;
     }
@@ -375,12 +376,7 @@
       error{error_kind::kNotFound,
             "neither the origin nor a peer provides the manifest"};
   for (const staging_source& source : sources) {
-    if (source.kind == source_kind::kOrigin) {
-      manifest =
-          co_await origin_->ReadManifest(model_, version, kManifestTimeout);
-    } else {
-      manifest = co_await ReadManifestFromPeer(source.address, version);
-    }
+    manifest = co_await ReadManifestFrom(source, version);
     if (IsOk(manifest)) {
       break;
     }
@@ -388,6 +384,42 @@
   co_return manifest;
 }
 
+awaitable<result<platform::weight_manifest>> stager::ReadManifestFrom(
+    staging_source source,
+    std::uint64_t version) {
+  result<platform::weight_manifest> manifest =
+      error{error_kind::kNotFound, "not a source of manifests"};
+  if (source.kind == source_kind::kOrigin) {
+    manifest =
+        co_await origin_->ReadManifest(model_, version, kManifestTimeout);
+  } else if (source.kind == source_kind::kPeer) {
+    manifest = co_await ReadManifestFromPeer(source.address, version);
+  }
+  if (IsOk(manifest) && chunk_count_ > 0 &&
+      ValueOf(manifest).digests.size() != chunk_count_) {
+    co_return error{error_kind::kProtocolError,
+                    "the manifest has a wrong number of chunks"};
+  }
+  co_return manifest;
+}
+
+awaitable<bool> stager::CorrectManifest(staging_source source,
+                                        std::size_t chunk,
+                                        std::string bytes) {
+  const std::uint64_t version = chunks_.version();
+  const auto read = co_await ReadManifestFrom(source, version);
+  if (!IsOk(read) || version != chunks_.version()) {
+    co_return false;
+  }
+  const bool corrected =
+      chunks_.Correct(chunk, ValueOf(read).digests, std::move(bytes));
+  if (corrected) {
+    LogLine("event=manifest_corrected version=" + std::to_string(version) +
+            " chunk=" + std::to_string(chunk));
+  }
+  co_return corrected;
+}
+
 awaitable<result<platform::weight_manifest>> stager::ReadManifestFromPeer(
     std::string address,
     std::uint64_t version) {
@@ -560,6 +592,13 @@
       bytes = ErrorOf(answer);
     }
   }
+  bool stored = false;
+  if (IsOk(bytes) && version == chunks_.version()) {
+    stored = chunks_.Put(chunk, ValueOf(bytes));
+    if (!stored && order.source.kind != source_kind::kLocalReplica) {
+      stored = co_await CorrectManifest(order.source, chunk, ValueOf(bytes));
+    }
+  }
   if (version != chunks_.version()) {
     co_return;  // superseded
   }
@@ -570,7 +609,7 @@
   ended.overdue = overdue;
   if (!IsOk(bytes)) {
     ended.result = FetchResultOf(ErrorOf(bytes).kind);
-  } else if (!chunks_.Put(chunk, ValueOf(std::move(bytes)))) {
+  } else if (!stored) {
     // The local replica does not verify staged chunks and keeps corrupt ones.
     ended.result = order.source.kind == source_kind::kLocalReplica
                        ? weight_stager::fetch_result::kMissing
--- a/src/stager/stager.h
+++ b/src/stager/stager.h
@@ -62,8 +62,16 @@
   boost::asio::awaitable<bool> StartTarget(std::uint64_t version);
   boost::asio::awaitable<result<platform::weight_manifest>> ReadManifest(
       std::uint64_t version);
+  boost::asio::awaitable<result<platform::weight_manifest>> ReadManifestFrom(
+      staging_source source,
+      std::uint64_t version);
   boost::asio::awaitable<result<platform::weight_manifest>>
   ReadManifestFromPeer(std::string address, std::uint64_t version);
+  /// \brief Reads the manifest once more from the source of a chunk that does
+  /// not match its digest; stores the chunk if the digest was wrong.
+  boost::asio::awaitable<bool> CorrectManifest(staging_source source,
+                                               std::size_t chunk,
+                                               std::string bytes);
   /// \brief Reads the peers if that is due.
   boost::asio::awaitable<void> RefreshPeers(bool fetching);
   boost::asio::awaitable<void> ReadPeerChanges();
@@ -118,8 +126,9 @@
   bool versions_listed_ = false;
   std::optional<upstream_load> replica_load_;
   std::vector<staging_peer> peers_;
-  double origin_link_mbps_ = 0;  // 0 if unknown
-  std::size_t chunk_bytes_ = 0;
+  double origin_link_mbps_ = 0;   // 0 if unknown
+  std::size_t chunk_bytes_ = 0;   // 0 if unknown
+  std::size_t chunk_count_ = 0;   // 0 if unknown
   bool manifest_failed_ = false;  // result of the last read; limits logging
   bool origin_failed_ = false;    // the last request of a chunk there
 };
--- a/tests/stager/stager_test.cc
+++ b/tests/stager/stager_test.cc
@@ -14,6 +14,7 @@
 #include <thread>
 
 #include "node/fake_store.h"
+#include "stager/chunk_server.h"
 
 namespace fireflyslip {
 namespace {
@@ -90,9 +91,8 @@
               {"modelList", {{{"name", "m"}, {"version", loaded_version_}}}}}
               .dump();
     } else if (path.starts_with(platform::kManifestPath)) {
-      ++manifests_;
       manifest_versions_.insert(version);
-      response.body = ManifestOf(model, version);
+      response.body = ManifestOf(model, version, ++manifests_ == 1);
     } else if (path.starts_with(platform::kChunkPath) && has_chunks_) {
       response.body = ChunkOf(model, version, index);
     } else if (path.starts_with(platform::kStagePutPath)) {
@@ -140,11 +140,45 @@
               kMaxBytesWithoutEnd);
   }
 
-  std::string ManifestOf(const std::string& model, std::uint64_t version) {
+  /// Adds a VM whose agent has the manifest and all chunks.
+  void AddPeer() {
+    store_.PutUpstream("i-2", "127.0.0.2:1");
+    peer_ = std::make_unique<http_server>(
+        context_, http_limits{},
+        [this](http_request request, response_writer& writer) {
+          return ServePeer(std::move(request), writer);
+        });
+    EXPECT_TRUE(
+        IsOk(peer_->Listen({"127.0.0.2", settings_.ChunkEndpoint().port})));
+  }
+
+  boost::asio::awaitable<void> ServePeer(http_request request,
+                                         response_writer& writer) {
+    http_response response;
+    response.status = 404;
+    for (std::size_t i = 0; i < kChunks; ++i) {
+      if (request.path() == ManifestPath(2)) {
+        response.status = 200;
+        response.body += digest::Of(ChunkOf("m", 2, i)).ToHex() + "\n";
+      } else if (request.path() == ChunkTarget(2, i, true)) {
+        response.status = 200;
+        response.body = ChunkOf("m", 2, i);
+      }
+    }
+    co_await writer.Send(std::move(response));
+  }
+
+  std::string ManifestOf(const std::string& model,
+                         std::uint64_t version,
+                         bool is_first) {
     nlohmann::json digests = nlohmann::json::array();
     for (std::size_t i = 0; i < kChunks; ++i) {
       digests.push_back(digest::Of(ChunkOf(model, version, i)).ToHex());
     }
+    if (is_first && spoils_first_manifest_) {
+      auto& digits = digests[kChunks / 2].get_ref<std::string&>();
+      digits.front() = digits.front() == '0' ? '1' : '0';
+    }
     return nlohmann::json{{"version", version}, {"digestList", digests}}.dump();
   }
 
@@ -185,6 +219,7 @@
   /// Bytes of a body without end that an agent may take; includes what the
   /// sockets buffer.
   static constexpr std::size_t kMaxBytesWithoutEnd = 24UL << 20;
+  bool spoils_first_manifest_ = false;
   std::string endless_path_;  // prefix of requests to the replica and origin
   std::size_t longest_body_ = 0;
   std::unique_ptr<http_server> peer_;
@@ -319,5 +354,23 @@
   ExpectEndlessBodiesGivenUp();
 }
 
+// Guards against a version that is never loaded, because one digit of its
+// manifest was spoilt when the origin sent it.
+TEST_F(stager_test, Manifest_SpoiltByOrigin_CorrectedWithItsChunk) {
+  has_chunks_ = true;
+  spoils_first_manifest_ = true;
+  ASSERT_TRUE(IsOk(stager_->Start()));
+  ASSERT_TRUE(RunUntil([&] { return loaded_version_ == 2; }));
+  EXPECT_EQ(manifests_, 2U);
+}
+
+// Guards against the same where the chunk comes from another agent.
+TEST_F(stager_test, Manifest_Spoilt_CorrectedWithChunkOfPeer) {
+  spoils_first_manifest_ = true;
+  AddPeer();
+  ASSERT_TRUE(IsOk(stager_->Start()));
+  ASSERT_TRUE(RunUntil([&] { return loaded_version_ == 2; }));
+}
+
 }  // namespace
 }  // namespace fireflyslip
