--- a/src/stager/chunk_server.cc
+++ b/src/stager/chunk_server.cc
@@ -154,14 +154,16 @@
   const std::optional<chunk_key> key = ParseChunkPath(request.path());
   http_response response;
   response.status = kStatusNotFound;
+  // While the own model is unknown, requests wait for it with the version.
   const std::string_view wanted = request.Field(kModelField);
-  if (!wanted.empty() && wanted != model_.value()) {
-    co_await writer.Send(std::move(response));
-    co_return;
-  }
+  const auto is_own_model = [&] {
+    return wanted.empty() || model_.empty() || wanted == model_.value();
+  };
   if (const auto version = ParseManifestPath(request.path())) {
-    co_await AwaitVersion(*version);
-    if (chunks_.version() == *version) {
+    if (is_own_model()) {
+      co_await AwaitVersion(*version);
+    }
+    if (is_own_model() && chunks_.version() == *version) {
       response.status = kStatusOk;
       for (const digest& chunk_digest : chunks_.digests()) {
         response.body += chunk_digest.ToHex() + "\n";
@@ -173,7 +175,7 @@
   const bool blocking =
       !std::string_view(request.target).ends_with(kNonBlockingQuery);
   const time_point wait_deadline = MonotonicNow() + kMaxChunkWait;
-  while (key && MonotonicNow() < wait_deadline &&
+  while (key && is_own_model() && MonotonicNow() < wait_deadline &&
          chunks_.version() <= key->version) {
     const auto bytes =
         chunks_.version() == key->version ? chunks_.Get(key->index) : nullptr;
@@ -197,7 +199,7 @@
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     waiters_.erase(waiter);
   }
-  if (key && response.status == kStatusNotFound) {
+  if (key && is_own_model() && response.status == kStatusNotFound) {
     if (const auto overdue = overdue_(key->version, key->index)) {
       const auto rounded =
           std::chrono::duration_cast<std::chrono::milliseconds>(*overdue);
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -37,8 +37,9 @@
 /// One chunk takes 42 ms on an idle link of a VM; several transfers share it.
 constexpr milliseconds kChunkTimeout{2500};
 constexpr milliseconds kLocalReplicaTimeout{1000};
-/// Longest chunk if the configuration does not state the length of chunks.
-constexpr std::size_t kDefaultMaxChunkBytes = 4UL << 20;
+/// Longest chunk, unless the configuration states longer ones. The length that
+/// the agent knows may be out of date.
+constexpr std::size_t kMinChunkLimit = 1UL << 20;
 /// Fraction of the VM's link bandwidth that chunks may use; the rest is for the
 /// streams of the replica, which must not stall between events.
 constexpr double kLinkFraction = 0.85;
@@ -304,7 +305,6 @@
       origin_region_ = settings_.RegionOf(other.origin->data_centre);
       origin_link_mbps_ = other.origin->link_mbps;
       chunk_bytes_ = service->engine->chunk_bytes;
-      chunk_count_ = service->engine->chunk_count;
       origin_ = std::make_unique<platform::origin_client>(context_, *endpoint);
       return true;
     }
@@ -387,20 +387,10 @@
 awaitable<result<platform::weight_manifest>> stager::ReadManifestFrom(
     staging_source source,
     std::uint64_t version) {
-  result<platform::weight_manifest> manifest =
-      error{error_kind::kNotFound, "not a source of manifests"};
   if (source.kind == source_kind::kOrigin) {
-    manifest =
-        co_await origin_->ReadManifest(model_, version, kManifestTimeout);
-  } else if (source.kind == source_kind::kPeer) {
-    manifest = co_await ReadManifestFromPeer(source.address, version);
-  }
-  if (IsOk(manifest) && chunk_count_ > 0 &&
-      ValueOf(manifest).digests.size() != chunk_count_) {
-    co_return error{error_kind::kProtocolError,
-                    "the manifest has a wrong number of chunks"};
+    co_return co_await origin_->ReadManifest(model_, version, kManifestTimeout);
   }
-  co_return manifest;
+  co_return co_await ReadManifestFromPeer(source.address, version);
 }
 
 awaitable<bool> stager::CorrectManifest(staging_source source,
@@ -520,7 +510,7 @@
 }
 
 std::size_t stager::MaxChunkBytes() const {
-  return chunk_bytes_ > 0 ? chunk_bytes_ : kDefaultMaxChunkBytes;
+  return std::max(chunk_bytes_, kMinChunkLimit);
 }
 
 awaitable<result<std::string>> stager::ReadBody(
--- a/src/stager/stager.h
+++ b/src/stager/stager.h
@@ -62,6 +62,7 @@
   boost::asio::awaitable<bool> StartTarget(std::uint64_t version);
   boost::asio::awaitable<result<platform::weight_manifest>> ReadManifest(
       std::uint64_t version);
+  /// \brief Reads the manifest from the origin or another agent.
   boost::asio::awaitable<result<platform::weight_manifest>> ReadManifestFrom(
       staging_source source,
       std::uint64_t version);
@@ -128,7 +129,6 @@
   std::vector<staging_peer> peers_;
   double origin_link_mbps_ = 0;   // 0 if unknown
   std::size_t chunk_bytes_ = 0;   // 0 if unknown
-  std::size_t chunk_count_ = 0;   // 0 if unknown
   bool manifest_failed_ = false;  // result of the last read; limits logging
   bool origin_failed_ = false;    // the last request of a chunk there
 };
