Let each test of the agent begin at ports of its own

The search now begins at a place that depends on the process. Ruled out as a fault of the product: the agent reported that it could not listen.

--- a/tests/stager/stager_test.cc
+++ b/tests/stager/stager_test.cc
@@ -1,6 +1,7 @@
 #include "stager/stager.h"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -182,11 +183,18 @@
     return nlohmann::json{{"version", version}, {"digestList", digests}}.dump();
   }
 
-  /// First of four consecutive ports that are free.
+  /// First of four consecutive ports that are free. Tests that run at the same
+  /// time begin at different ones.
   static std::uint16_t FreePorts() {
     using boost::asio::ip::tcp;
+    constexpr int kFirst = 21000;
+    constexpr int kGroups = 1000;
+    constexpr int kGroupSize = 8;
     boost::asio::io_context context;
-    for (std::uint16_t first = 21000; first < 29000; first += 4) {
+    for (int i = 0; i < kGroups; ++i) {
+      const int group = (::getpid() + i) % kGroups;
+      const auto first =
+          static_cast<std::uint16_t>(kFirst + group * kGroupSize);
       bool is_free = true;
       for (std::uint16_t port = first; port < first + 4; ++port) {
         boost::system::error_code code;
