Log each try of a request that fails

The request line names the last failure only, so that a refusal that was believed, a lost response and an upstream that could not be reached cannot be told apart for the earlier tries, nor whether the response came on a connection that had carried another one. failed_tries lists upstream, outcome, status, connection and time of each.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -67,6 +67,20 @@
          std::clamp(route, 0, kLevels - 1);
 }
 
+std::string_view ToString(attempt_outcome outcome) {
+  switch (outcome) {
+    case attempt_outcome::kNotSent:
+      return "not_sent";
+    case attempt_outcome::kNotRun:
+      return "not_run";
+    case attempt_outcome::kMayHaveRun:
+      return "may_have_run";
+    case attempt_outcome::kRanAndFailed:
+      return "failed";
+  }
+  return "-";
+}
+
 std::string Milliseconds(std::optional<duration> value) {
   return value ? std::to_string(value->count() / 1000) : "-";
 }
@@ -139,7 +153,11 @@
     }
     gateway_.crashes().AttemptEnded(id_, report.interrupted, MonotonicNow());
     gateway_.Handle(dispatcher::attempt_completed{id_, report.status});
-    if (report.delivered || cancel_cause_ != cancel_cause::kNone) {
+    if (report.delivered) {
+      break;
+    }
+    RecordFailedTry(report);
+    if (cancel_cause_ != cancel_cause::kNone) {
       break;
     }
     last_failure_ = report.detail;
@@ -411,6 +429,15 @@
     co_return report;
   }
   const std::shared_ptr<response_reader> reader = ValueOf(opened);
+  attempt_report report = co_await ReadResponse(reader);
+  report.response_status = reader->head().status;
+  report.connection_reused = reader->connection_reused();
+  co_return report;
+}
+
+awaitable<exchange::attempt_report> exchange::ReadResponse(
+    std::shared_ptr<response_reader> reader) {
+  const upstream_entry& upstream = placement_->upstream;
   const platform::response_metadata response =
       platform::DecodeResponseMetadata(reader->head());
   attempt_report report;
@@ -783,6 +810,14 @@
   return std::max(1.0, prompt + output);
 }
 
+void exchange::RecordFailedTry(const attempt_report& report) {
+  failed_tries_ += failed_tries_.empty() ? "" : ",";
+  failed_tries_ += upstream_ + "/" + std::string(ToString(report.outcome));
+  failed_tries_ += "/" + std::to_string(report.response_status);
+  failed_tries_ += report.connection_reused ? "/reused" : "/new";
+  failed_tries_ += "@" + Milliseconds(MonotonicNow() - received_at_);
+}
+
 void exchange::LogOutcome() {
   const duration total = MonotonicNow() - received_at_;
   const std::string kind = route_ == nullptr   ? "none"
@@ -809,6 +844,9 @@
   line +=
       " configuration=" + (catalog_ ? std::to_string(catalog_->version) : "-");
   line += " key_age_ms=" + Milliseconds(gateway_.KeyAge());
+  if (!failed_tries_.empty()) {
+    line += " failed_tries=" + failed_tries_;
+  }
   if (!last_failure_.empty()) {
     line += " failure=\"" + last_failure_ + "\"";
   }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -57,6 +57,8 @@
     bool interrupted = false;  // the upstream ended the connection
     std::string detail;
     std::optional<http_response> upstream_response;  // with an error status
+    int response_status = 0;         // of any response; 0 if there was none
+    bool connection_reused = false;  // the connection had a response before
   };
 
   std::optional<error> MatchRoute();
@@ -76,6 +78,9 @@
   bool ConfirmRetry();
   boost::asio::awaitable<bool> AwaitPlacement();
   boost::asio::awaitable<attempt_report> RunAttempt();
+  /// \brief Classifies the response by its head and reads or forwards it.
+  boost::asio::awaitable<attempt_report> ReadResponse(
+      std::shared_ptr<response_reader> reader);
   boost::asio::awaitable<attempt_report> ForwardResponse(
       std::shared_ptr<response_reader> reader);
   boost::asio::awaitable<attempt_report> ForwardStream(
@@ -92,7 +97,6 @@
   attempt_report MakeFailureReport(time_point started_at,
                                    duration read_timeout,
                                    const error& problem) const;
-  /// \brief Report of an attempt whose response exceeds a size limit.
   /// \brief Report of a response that exceeds a limit.
   attempt_report OversizeReport(response_part part, std::size_t limit) const;
   duration RemainingTime() const;
@@ -101,6 +105,8 @@
   /// \brief Usual time until the response is complete; empty if unknown.
   std::optional<duration> ExpectedDuration() const;
   double EstimatedCost() const;
+  /// \brief Adds a try without a delivered response to the log line.
+  void RecordFailedTry(const attempt_report& report);
   void LogOutcome();
 
   gateway& gateway_;
@@ -139,6 +145,7 @@
   std::string outcome_;
   std::string upstream_;
   std::string last_failure_;
+  std::string failed_tries_;
   std::optional<duration> placement_delay_;
   std::optional<duration> response_delay_;
 };
