Skip repeated responses to earlier requests on a reused connection

Callers saw 502 for a booking that ran, when the upstream sent an earlier refusal once more in front of the response to the booking. The response to the booking was then read by nobody; requests that may be repeated were sent to a second upstream, which runs them again and counts as one more arrival.

The id of the response tells that it belongs to another request, and the real response follows on the connection. At most four such responses of 64 KB are skipped, within the timeout of the try; on a new connection, and after that, a foreign response is a failure with unknown outcome as before.

Booking_EarlierRefusalRepeated expected the 502; it now expects the answer and still that the booking runs once, at one upstream. A connection that ends after the repeated response, or repeats it 100 times, still gives 502.

--- a/include/fireflyslip/http/http_client.h
+++ b/include/fireflyslip/http/http_client.h
@@ -27,6 +27,10 @@
   /// timeout.
   virtual boost::asio::awaitable<result<std::string>> Read(
       duration timeout) = 0;
+  /// \brief Reads the rest of this response, which is an earlier one that the
+  /// server repeats, and the head of the next one. Fails as `Read()` does, or
+  /// with `kResponseTooLarge`.
+  virtual boost::asio::awaitable<status> SkipResponse(duration timeout) = 0;
   /// \brief Closes the connection; a pending `Read()` fails.
   virtual void Cancel() = 0;
   /// \brief Whether the connection has carried another response before, which
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -417,32 +417,62 @@
   http_request message = MakeUpstreamRequest();
   const auto opened = co_await gateway_.upstream_client().Open(
       *endpoint, std::move(message), read_timeout, max_idle, canceller_);
-  if (!IsOk(opened)) {
+  const auto report_failure = [&](const error& problem) {
     attempt_report report =
-        MakeFailureReport(started_at, read_timeout, ErrorOf(opened));
+        MakeFailureReport(started_at, read_timeout, problem);
     if (has_start_deadline && report.status == attempt_status::kUnreachable) {
       report.status = attempt_status::kAbandoned;
     }
     if (report.outcome != attempt_outcome::kNotSent) {
       ++history_.may_have_run;
     }
-    co_return report;
+    return report;
+  };
+  if (!IsOk(opened)) {
+    co_return report_failure(ErrorOf(opened));
   }
   const std::shared_ptr<response_reader> reader = ValueOf(opened);
-  attempt_report report = co_await ReadResponse(reader);
+  const status skipped =
+      co_await SkipRepeatedResponses(*reader, started_at + read_timeout);
+  attempt_report report;
+  if (IsOk(skipped)) {
+    report = co_await ReadResponse(reader);
+  } else {
+    report = report_failure(ErrorOf(skipped));
+  }
   report.response_status = reader->head().status;
   report.connection_reused = reader->connection_reused();
   co_return report;
 }
 
+awaitable<status> exchange::SkipRepeatedResponses(response_reader& reader,
+                                                  time_point until) {
+  constexpr int kMaxSkipped = 4;
+  for (int i = 0; i < kMaxSkipped && reader.connection_reused() &&
+                  IsResponseToOther(reader.head());
+       ++i) {
+    gateway_.counters().Count("repeated_responses_skipped", {});
+    const duration timeout = std::max(until - MonotonicNow(), duration(0));
+    const status skipped = co_await reader.SkipResponse(timeout);
+    if (!IsOk(skipped)) {
+      co_return skipped;
+    }
+  }
+  co_return std::monostate{};
+}
+
+bool exchange::IsResponseToOther(const http_response& head) const {
+  const std::string id = platform::DecodeResponseMetadata(head).attempt_id;
+  return !id.empty() && id != metadata_.attempt_id;
+}
+
 awaitable<exchange::attempt_report> exchange::ReadResponse(
     std::shared_ptr<response_reader> reader) {
   const upstream_entry& upstream = placement_->upstream;
   const platform::response_metadata response =
       platform::DecodeResponseMetadata(reader->head());
   attempt_report report;
-  if (!response.attempt_id.empty() &&
-      response.attempt_id != metadata_.attempt_id) {
+  if (IsResponseToOther(reader->head())) {
     ++history_.may_have_run;
     report.status = attempt_status::kFailed;
     report.detail = "answer to another request";
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -78,6 +78,11 @@
   bool ConfirmRetry();
   boost::asio::awaitable<bool> AwaitPlacement();
   boost::asio::awaitable<attempt_report> RunAttempt();
+  /// \brief Skips responses to earlier requests on a reused connection, which a
+  /// faulty upstream may repeat.
+  boost::asio::awaitable<status> SkipRepeatedResponses(response_reader& reader,
+                                                       time_point until);
+  bool IsResponseToOther(const http_response& head) const;
   /// \brief Classifies the response by its head and reads or forwards it.
   boost::asio::awaitable<attempt_report> ReadResponse(
       std::shared_ptr<response_reader> reader);
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -31,6 +31,7 @@
 /// body, which the parser takes only as a whole.
 constexpr std::size_t kMaxBufferedBytes = 16UL << 10;
 constexpr std::size_t kMaxInterimResponses = 16;
+constexpr std::size_t kMaxSkippedBodyBytes = 64UL << 10;
 /// A longer body is written while the response is read, because a server may
 /// respond before it has read the body and may stop reading it.
 constexpr std::size_t kConcurrentWriteThreshold = 16UL << 10;  // bytes
@@ -103,6 +104,11 @@
   return std::min(reuse_timeout, fallback);
 }
 
+duration RemainingTime(clock_type::time_point deadline) {
+  return std::chrono::duration_cast<duration>(
+      std::max(deadline - clock_type::now(), clock_type::duration(0)));
+}
+
 using stream_pointer = std::shared_ptr<beast::tcp_stream>;
 
 struct client_connection {
@@ -148,10 +154,8 @@
     const std::shared_ptr<response_reader> reader = ValueOf(opened);
     http_response response = reader->head();
     while (!reader->complete()) {
-      const auto remaining = std::chrono::duration_cast<duration>(
-          std::max(deadline - clock_type::now(), clock_type::duration(0)));
       const duration part_timeout =
-          read_timeout > duration(0) ? read_timeout : remaining;
+          read_timeout > duration(0) ? read_timeout : RemainingTime(deadline);
       result<std::string> part = co_await reader->Read(part_timeout);
       if (!IsOk(part)) {
         co_return ErrorOf(part);
@@ -333,6 +337,28 @@
     co_return std::string();
   }
 
+  awaitable<status> SkipResponse(duration timeout) override {
+    const auto deadline = clock_type::now() + timeout;
+    std::size_t size = 0;
+    while (!complete()) {
+      const result<std::string> part = co_await Read(RemainingTime(deadline));
+      if (!IsOk(part)) {
+        co_return ErrorOf(part);
+      }
+      size += ValueOf(part).size();
+      if (size > kMaxSkippedBodyBytes) {
+        co_return RejectOversizeResponse(endpoint_, response_part::kBody,
+                                         kMaxSkippedBodyBytes);
+      }
+    }
+    if (!parser_->keep_alive()) {
+      co_return MakeError(endpoint_, error_kind::kUpstreamFailed,
+                          "connection ends with a repeated response");
+    }
+    ResetParser();
+    co_return co_await ReadHead(RemainingTime(deadline));
+  }
+
   void Cancel() override { stream_->close(); }
 
   void ReleaseConnection() override {
@@ -411,8 +437,7 @@
     }
     canceller->set_close([stream] { stream->close(); });
   }
-  const auto remaining = std::chrono::duration_cast<duration>(
-      std::max(deadline - clock_type::now(), clock_type::duration(0)));
+  const duration remaining = RemainingTime(deadline);
   if (remaining == duration(0)) {
     co_return MakeError(endpoint, error_kind::kNoUpstream,
                         "timed out before the request was sent");
