Do not send a refused request again on the same connection

Callers were told "not run" of bookings that ran, and some ran twice after the caller's next attempt. An upstream refused a request under the id that its former incarnation had (421), and the request was sent again under its new id: to the same address, on the same connection. A copy of the refusal, which has the id of the request, came first and was taken for the response. Requests that may be repeated went on to further upstreams with may_have_run too low, beyond the attempts that their route allows. The same happened to a caller that sent a refused request again on a new connection of its own.

The id in a response says which request it answers, not which transmission. The cause is a retry that is excluded by the id of the upstream, while connections are pooled by its address.

A connection now keeps the ids (hashes, 64 at most) of the requests that were refused or failed on it, and is not reused for these; so the first response with an id on a connection is always the one to the transmission in progress. A refusal without an id closes its connection, as its copy could be meant for any later request.

Weighed: closing after each refusal is simpler, and opens a connection for each of them; connections to upstreams are limited and refusals come when they are scarce.

--- a/include/fireflyslip/http/http_client.h
+++ b/include/fireflyslip/http/http_client.h
@@ -42,6 +42,10 @@
   /// bytes follow it and the server keeps the connection alive. Without this
   /// call the connection is closed with the reader.
   virtual void ReleaseConnection() = 0;
+  /// \brief As `ReleaseConnection()`, but the connection is not reused for
+  /// requests with the id of this one. A faulty server may repeat the response,
+  /// which could then not be told from the response to the second transmission.
+  virtual void ReleaseForOtherRequests() = 0;
 };
 
 /// \brief Cancels a request from outside its coroutine.
@@ -114,6 +118,8 @@
   /// \param max_idle longest idle time of a reused connection; zero for a new
   /// connection.
   /// \param canceller may be null.
+  /// \param request_id id that the server repeats in its response, for
+  /// `response_reader::ReleaseForOtherRequests()`; may be empty.
   ///
   /// Fails as `Request()` does.
   boost::asio::awaitable<result<std::shared_ptr<response_reader>>> Open(
@@ -121,7 +127,8 @@
       http_request request,
       duration timeout,
       duration max_idle = seconds(20),
-      std::shared_ptr<call_canceller> canceller = nullptr);
+      std::shared_ptr<call_canceller> canceller = nullptr,
+      std::string request_id = {});
 
   /// \brief Closes the pooled connections to an endpoint.
   void CloseIdleConnections(const http_endpoint& endpoint);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -416,7 +416,8 @@
   canceller_ = std::make_shared<call_canceller>();
   http_request message = MakeUpstreamRequest();
   const auto opened = co_await gateway_.upstream_client().Open(
-      *endpoint, std::move(message), read_timeout, max_idle, canceller_);
+      *endpoint, std::move(message), read_timeout, max_idle, canceller_,
+      metadata_.attempt_id);
   const auto report_failure = [&](const error& problem) {
     attempt_report report =
         MakeFailureReport(started_at, read_timeout, problem);
@@ -495,7 +496,10 @@
     report.detail = "upstream did not run the request, status " +
                     std::to_string(reader->head().status);
     co_await reader->Read(ReadTimeout());
-    reader->ReleaseConnection();
+    // Once more, a refusal without an id could be meant for any request.
+    if (!response.attempt_id.empty()) {
+      reader->ReleaseForOtherRequests();
+    }
     co_return report;
   }
   ++history_.may_have_run;
@@ -542,7 +546,12 @@
     }
     response.body += ValueOf(part);
   }
-  reader->ReleaseConnection();
+  if (response.status >= kFirstServerError ||
+      platform::IsRefusalStatus(response.status)) {
+    reader->ReleaseForOtherRequests();
+  } else {
+    reader->ReleaseConnection();
+  }
   attempt_report report;
   const platform::response_metadata metadata =
       platform::DecodeResponseMetadata(response);
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -1,5 +1,6 @@
 #include "fireflyslip/http/http_client.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -12,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "fireflyslip/core/hash.h"
 #include "fireflyslip/http/response_limit.h"
 #include "fireflyslip/http/socket_options.h"
 
@@ -32,6 +34,9 @@
 constexpr std::size_t kMaxBufferedBytes = 16UL << 10;
 constexpr std::size_t kMaxInterimResponses = 16;
 constexpr std::size_t kMaxSkippedBodyBytes = 64UL << 10;
+/// Requests that are not sent again on a connection; with more of them it is
+/// closed.
+constexpr std::size_t kMaxExcludedRequests = 64;
 /// A longer body is written while the response is read, because a server may
 /// respond before it has read the body and may stop reading it.
 constexpr std::size_t kConcurrentWriteThreshold = 16UL << 10;  // bytes
@@ -114,12 +119,19 @@
 struct client_connection {
   stream_pointer stream;
   bool reused = false;
+  /// Hashes of the ids of requests that are not sent on this connection again.
+  std::vector<std::uint64_t> excluded_requests;
 };
 
 struct idle_connection {
-  stream_pointer stream;
+  client_connection connection;
   clock_type::time_point idle_since;
   clock_type::time_point reusable_until;
+
+  bool Excludes(std::uint64_t request) const {
+    return std::ranges::find(connection.excluded_requests, request) !=
+           connection.excluded_requests.end();
+  }
 };
 
 bool IsReusable(beast::tcp_stream& stream) {
@@ -146,8 +158,9 @@
                                            std::size_t max_body_bytes) {
     const auto self = shared_from_this();
     const auto deadline = clock_type::now() + timeout;
-    result<std::shared_ptr<response_reader>> opened = co_await Open(
-        endpoint, std::move(request), timeout, options_.max_idle_time, nullptr);
+    result<std::shared_ptr<response_reader>> opened =
+        co_await Open(endpoint, std::move(request), timeout,
+                      options_.max_idle_time, nullptr, {});
     if (!IsOk(opened)) {
       co_return ErrorOf(opened);
     }
@@ -175,17 +188,20 @@
       http_request request,
       duration timeout,
       duration max_idle,
-      std::shared_ptr<call_canceller> canceller);
+      std::shared_ptr<call_canceller> canceller,
+      std::string request_id);
 
   void AddIdle(const http_endpoint& endpoint,
-               stream_pointer stream,
+               client_connection connection,
                duration idle_timeout) {
     std::vector<idle_connection>& idle = idle_[endpoint];
     if (idle.size() < options_.max_idle_connections &&
-        idle_timeout.count() > 0) {
-      stream->expires_never();
+        idle_timeout.count() > 0 &&
+        connection.excluded_requests.size() <= kMaxExcludedRequests) {
+      connection.stream->expires_never();
+      connection.reused = true;
       const auto now = clock_type::now();
-      idle.push_back({std::move(stream), now, now + idle_timeout});
+      idle.push_back({std::move(connection), now, now + idle_timeout});
     }
   }
 
@@ -196,9 +212,9 @@
   void PruneIdleConnections() {
     const auto now = clock_type::now();
     for (auto it = idle_.begin(); it != idle_.end();) {
-      std::erase_if(it->second, [now](const idle_connection& connection) {
-        return now > connection.reusable_until ||
-               !IsReusable(*connection.stream);
+      std::erase_if(it->second, [now](const idle_connection& idle) {
+        return now > idle.reusable_until ||
+               !IsReusable(*idle.connection.stream);
       });
       it = it->second.empty() ? idle_.erase(it) : std::next(it);
     }
@@ -212,9 +228,10 @@
       http_endpoint endpoint,
       duration timeout,
       duration max_idle,
-      std::shared_ptr<call_canceller> canceller) {
-    if (stream_pointer reused = Reuse(endpoint, max_idle)) {
-      co_return client_connection{std::move(reused), true};
+      std::shared_ptr<call_canceller> canceller,
+      std::uint64_t request) {
+    if (auto reused = Reuse(endpoint, max_idle, request)) {
+      co_return *std::move(reused);
     }
     beast::error_code code;
     const auto address = asio::ip::make_address(endpoint.address, code);
@@ -235,27 +252,36 @@
     if (options_.reset_on_close) {
       stream->socket().set_option(asio::socket_base::linger(true, 0), code);
     }
-    co_return client_connection{std::move(stream), false};
+    client_connection connection;
+    connection.stream = std::move(stream);
+    co_return connection;
   }
 
-  stream_pointer Reuse(const http_endpoint& endpoint, duration max_idle) {
+  std::optional<client_connection> Reuse(const http_endpoint& endpoint,
+                                         duration max_idle,
+                                         std::uint64_t request) {
     const auto found = idle_.find(endpoint);
     if (found == idle_.end()) {
-      return nullptr;
+      return std::nullopt;
     }
     const auto now = clock_type::now();
     std::vector<idle_connection>& idle = found->second;
-    while (!idle.empty()) {
-      if (now - idle.back().idle_since > max_idle) {
-        return nullptr;  // the remaining ones are idle for longer
+    for (std::size_t i = idle.size(); i > 0; --i) {
+      const auto last = idle.begin() + static_cast<std::ptrdiff_t>(i - 1);
+      if (now - last->idle_since > max_idle) {
+        break;  // the remaining ones are idle for longer
       }
-      idle_connection connection = std::move(idle.back());
-      idle.pop_back();
-      if (now <= connection.reusable_until && IsReusable(*connection.stream)) {
-        return std::move(connection.stream);
+      if (last->Excludes(request)) {
+        continue;
+      }
+      idle_connection candidate = std::move(*last);
+      idle.erase(last);
+      if (now <= candidate.reusable_until &&
+          IsReusable(*candidate.connection.stream)) {
+        return std::move(candidate.connection);
       }
     }
-    return nullptr;
+    return std::nullopt;
   }
 
   asio::io_context& context_;
@@ -273,12 +299,15 @@
   body_reader(std::weak_ptr<Pool> pool,
               http_endpoint endpoint,
               client_connection connection,
+              std::uint64_t request,
               std::shared_ptr<call_canceller> canceller,
               std::shared_ptr<bool> request_written)
       : pool_(std::move(pool)),
         endpoint_(std::move(endpoint)),
-        stream_(std::move(connection.stream)),
+        stream_(connection.stream),
         connection_reused_(connection.reused),
+        connection_(std::move(connection)),
+        request_(request),
         canceller_(std::move(canceller)),
         request_written_(std::move(request_written)) {
     ResetParser();
@@ -368,11 +397,17 @@
       if (canceller_) {
         canceller_->set_close(nullptr);
       }
-      pool->AddIdle(endpoint_, std::move(stream_),
+      stream_ = nullptr;
+      pool->AddIdle(endpoint_, std::move(connection_),
                     ReuseTimeout(head_, pool->options().max_idle_time));
     }
   }
 
+  void ReleaseForOtherRequests() override {
+    connection_.excluded_requests.push_back(request_);
+    ReleaseConnection();
+  }
+
  private:
   void ResetParser() {
     parser_.emplace();
@@ -394,8 +429,10 @@
 
   std::weak_ptr<Pool> pool_;
   http_endpoint endpoint_;
-  stream_pointer stream_;
+  stream_pointer stream_;  // of `connection_`, until it is released
   const bool connection_reused_;
+  client_connection connection_;
+  const std::uint64_t request_;
   std::shared_ptr<call_canceller> canceller_;
   std::shared_ptr<bool> request_written_;
   beast::flat_buffer buffer_{kMaxBufferedBytes};
@@ -420,12 +457,14 @@
     http_request request,
     duration timeout,
     duration max_idle,
-    std::shared_ptr<call_canceller> canceller) {
+    std::shared_ptr<call_canceller> canceller,
+    std::string request_id) {
   const auto self = shared_from_this();
   const auto deadline = clock_type::now() + timeout;
   const auto message = ToMessage(std::move(request), endpoint);
+  const std::uint64_t id_hash = StableHash(request_id);
   result<client_connection> connected =
-      co_await Connect(endpoint, timeout, max_idle, canceller);
+      co_await Connect(endpoint, timeout, max_idle, canceller, id_hash);
   if (!IsOk(connected)) {
     co_return ErrorOf(connected);
   }
@@ -452,7 +491,7 @@
     code = co_await WriteMessage(stream, message, request_written);
   }
   auto reader = std::make_shared<body_reader<state>>(
-      self, endpoint, connection, canceller, request_written);
+      self, endpoint, connection, id_hash, canceller, request_written);
   if (code) {
     co_return MakeError(endpoint, error_kind::kUpstreamFailed, code.message());
   }
@@ -484,9 +523,10 @@
     http_request request,
     duration timeout,
     duration max_idle,
-    std::shared_ptr<call_canceller> canceller) {
+    std::shared_ptr<call_canceller> canceller,
+    std::string request_id) {
   return state_->Open(std::move(endpoint), std::move(request), timeout,
-                      max_idle, std::move(canceller));
+                      max_idle, std::move(canceller), std::move(request_id));
 }
 
 void http_client::CloseIdleConnections(const http_endpoint& endpoint) {
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -243,6 +243,77 @@
         boost::asio::redirect_error(boost::asio::use_awaitable, code));
   }
 
+  /// \brief Upstream that sends each refusal twice: the copy comes in front of
+  /// the response to the next request on the connection.
+  struct repeating_upstream {
+    /// Returns the response to a request, given by its head.
+    std::function<std::string(const std::string& head)> respond;
+    /// Ids of the requests that ran, which are those with status 200.
+    std::vector<std::string> run = {};
+    std::size_t refused = 0;
+  };
+
+  /// \brief Adds an upstream under several ids at one address.
+  void AddRepeatingUpstream(repeating_upstream& server,
+                            const std::vector<std::string>& ids) {
+    Listen();
+    boost::asio::co_spawn(context_, AcceptRepeating(server),
+                          boost::asio::detached);
+    for (const std::string& id : ids) {
+      AddRawEntry(id);
+    }
+  }
+
+  awaitable<void> AcceptRepeating(repeating_upstream& server) {
+    for (;;) {
+      auto socket =
+          co_await acceptor_->async_accept(boost::asio::use_awaitable);
+      boost::asio::co_spawn(context_, ServeRepeating(std::move(socket), server),
+                            boost::asio::detached);
+    }
+  }
+
+  static awaitable<void> ServeRepeating(boost::asio::ip::tcp::socket socket,
+                                        repeating_upstream& server) {
+    const std::string end_of_request = "\r\n\r\nbody";  // of MakeRequest()
+    std::string received;
+    std::string copy;
+    boost::system::error_code code;
+    while (!code) {
+      std::array<char, 4096> buffer{};
+      const std::size_t size = co_await socket.async_read_some(
+          boost::asio::buffer(buffer),
+          boost::asio::redirect_error(boost::asio::use_awaitable, code));
+      received.append(buffer.data(), size);
+      if (!received.ends_with(end_of_request)) {
+        continue;
+      }
+      const std::string response = server.respond(received);
+      const bool runs = response.starts_with("HTTP/1.1 200");
+      if (runs) {
+        server.run.push_back(FieldOf(received, "Attempt-Id"));
+      } else {
+        ++server.refused;
+      }
+      received.clear();
+      const std::string bytes = std::exchange(copy, "") + response;
+      copy = runs ? "" : response;
+      co_await boost::asio::async_write(
+          socket, boost::asio::buffer(bytes),
+          boost::asio::redirect_error(boost::asio::use_awaitable, code));
+    }
+  }
+
+  /// \brief Value of a field in the head of a request.
+  static std::string FieldOf(const std::string& head, const std::string& name) {
+    const std::size_t found = head.find("\r\n" + name + ": ");
+    if (found == std::string::npos) {
+      return "";
+    }
+    const std::size_t begin = found + name.size() + 4;
+    return head.substr(begin, head.find("\r\n", begin) - begin);
+  }
+
   void Listen() {
     using boost::asio::ip::tcp;
     acceptor_.emplace(
