Refuse a request at once that all of its upstreams have refused

An upstream that has been tried is not tried again for the same attempt, so the wait can only help if a new one appears. The caller's next attempt may go to any of them.

The dispatcher now refuses a resubmitted request without an eligible upstream when it is submitted. Streams that have begun still wait, since only this gateway can continue them. Resubmit_AllUpstreamsTried_RefusedAtOnce failed before: the request was queued.

--- a/src/placement/dispatcher.cc
+++ b/src/placement/dispatcher.cc
@@ -79,6 +79,12 @@
     return;
   }
   const std::optional<time_point> opening = EarliestOpening(event);
+  // The client may return to the upstreams that have been tried; this request
+  // may not. A stream that has begun can only be continued here.
+  if (!opening && event.resubmitted && !event.version) {
+    Refuse(event.id, error_kind::kNoUpstream);
+    return;
+  }
   if (opening && *opening > LastExpiry(queued->second)) {
     Refuse(event.id, error_kind::kOverloaded);
     return;
--- a/tests/placement/dispatcher_test.cc
+++ b/tests/placement/dispatcher_test.cc
@@ -98,6 +98,37 @@
   EXPECT_EQ(started_[1], "near");
 }
 
+// Guards against holding a request that each of its upstreams has refused until
+// its wait is over.
+TEST_F(dispatcher_test, Resubmit_AllUpstreamsTried_RefusedAtOnce) {
+  Add("a");
+  Add("b");
+  dispatcher::submit work = Work(1);
+  work.resubmitted = true;
+  work.excluded = {upstream_id("a")};
+  Handle(work);
+  EXPECT_EQ(started_[1], "b");
+  Handle(dispatcher::attempt_completed{1, attempt_status::kRefused});
+  work.excluded.insert(upstream_id("b"));
+  Handle(work);
+  ASSERT_TRUE(refused_.contains(1));
+  EXPECT_EQ(refused_[1].kind, error_kind::kNoUpstream);
+}
+
+// Guards against breaking off a stream while the upstream that could continue
+// it may still appear.
+TEST_F(dispatcher_test, Resume_AllUpstreamsTried_Waits) {
+  Add("a");
+  dispatcher::submit work = Work(1);
+  work.resubmitted = true;
+  work.excluded = {upstream_id("a")};
+  work.version = 1;
+  Handle(work);
+  EXPECT_FALSE(refused_.contains(1));
+  Add("b");
+  EXPECT_EQ(started_[1], "b");
+}
+
 // Guards against queueing at a full local replica while a remote one has free
 // slots.
 TEST_F(dispatcher_test, Submit_LocalFull_RemoteDataCentre) {
