Close the connection of a refusal in http_client::Request()

If a replica sends the refusal of an order a second time on the kept connection, the stager takes the copy for the response to its next request: an order that has begun counts as refused, and a load report counts as failed, upon which load_publisher publishes the replica as unreachable. Nobody has reported this; the tests reproduce it.

Cause: responses without an id are matched to requests by their position on a connection. Request() returned each connection to the pool, also after a refusal. That no bytes are left over is checked when a connection is taken from the pool, but a copy may arrive later, with or after the next request.

Request() now keeps a connection only after a status below 400. The copy of a refusal arrives on a connection that carries no other request.

Cost: with 100 refusals in 1,000 requests and no copies the client opened 1 connection before and opens 101 now.

Copies of successes are not covered by this change.

--- a/include/fireflyslip/http/http_client.h
+++ b/include/fireflyslip/http/http_client.h
@@ -92,7 +92,7 @@
   /// was sent, and with `kUpstreamFailed` if the outcome is unknown. A response
   /// with more bytes than expected fails with `kResponseTooLarge`, and its
   /// connection is closed. A request that fails on a reused connection is not
-  /// retried.
+  /// retried. The connection of a response with status 400 or above is closed.
   /// \param timeout for the whole response, or only for its head if
   /// `read_timeout` is set.
   /// \param read_timeout longest time between two parts of the body; zero for
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -162,7 +162,12 @@
       }
       response.body += ValueOf(part);
     }
-    reader->ReleaseConnection();
+    // A server may send a refusal a second time, and the next caller could not
+    // distinguish it from the response to its own request.
+    constexpr int kMinErrorStatus = 400;
+    if (response.status < kMinErrorStatus) {
+      reader->ReleaseConnection();
+    }
     co_return response;
   }
 
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -16,6 +16,7 @@
 
 #include "fireflyslip/http/http_server.h"
 #include "fireflyslip/http/response_limit.h"
+#include "http/repeating_server.h"
 
 namespace fireflyslip {
 namespace {
@@ -78,6 +79,33 @@
   EXPECT_EQ(served_, 1U);
 }
 
+// Guards against the copy of a refusal that is taken for the response to the
+// next request, and against a new connection for requests that are not refused.
+TEST(http_client_refusal_test, Request_RefusalsRepeated_OwnResponsesReturned) {
+  constexpr int kRequests = 1'000;
+  constexpr int kRefusals = 100;
+  constexpr int kRefused = 503;
+  boost::asio::io_context context{1};
+  int served = 0;
+  repeating_server server(
+      context, kRefused, [&](const http_request& /*request*/) {
+        const bool refused = served++ % (kRequests / kRefusals) == 0;
+        return http_response{refused ? kRefused : 200};
+      });
+  http_client client(context);
+  int refused = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const auto answer =
+        RunCall(context,
+                client.Request(server.endpoint(), http_request(), seconds(30)));
+    ASSERT_TRUE(IsOk(answer)) << ErrorOf(answer).detail;
+    refused += ValueOf(answer).status == kRefused ? 1 : 0;
+  }
+  EXPECT_EQ(refused, kRefusals);
+  EXPECT_EQ(served, kRequests);
+  EXPECT_EQ(server.connections(), kRefusals + 1U);
+}
+
 /// \brief Bytes that repeat after the start of a response.
 struct endless_response {
   const char* name;
