--- a/include/fireflyslip/http/http_client.h
+++ b/include/fireflyslip/http/http_client.h
@@ -77,6 +77,16 @@
   auto operator<=>(const http_client_options&) const = default;
 };
 
+/// \brief Options of a client that opens a connection for each request, so that
+/// a response that a server sends a second time is never taken for the response
+/// to a later request. For requests that carry no id which the server echoes,
+/// and whose response decides about a run, an order or a write.
+inline http_client_options SingleUseConnections() {
+  http_client_options options;
+  options.max_idle_connections = 0;
+  return options;
+}
+
 /// \brief HTTP/1.1 client with a connection pool, on one `io_context`.
 class http_client {
  public:
--- a/tests/program/agent_traffic_test.cc
+++ b/tests/program/agent_traffic_test.cc
@@ -12,6 +12,7 @@
 #include <type_traits>
 #include <vector>
 
+#include "http/repeating_server.h"
 #include "standins/engine_standin.h"
 #include "standins/platform_standin.h"
 #include "standins/service_standin.h"
@@ -264,6 +265,34 @@
   EXPECT_EQ(Executions(), 0);
 }
 
+// Guards against a booking that runs and is answered and recorded with the
+// refusal or the answer of an earlier one, which the service repeats.
+TEST_F(agent_traffic_test, Booking_EarlierAnswerRepeated_OwnAnswerReturned) {
+  constexpr int kRefused = 503;
+  io_thread service_thread;
+  int served = 0;
+  repeating_server service(
+      service_thread.context(), 200, [&](const http_request& request) {
+        return http_response{served++ == 0 ? kRefused : 200,
+                             {},
+                             std::string(request.Field("Idempotency-Key"))};
+      });
+  service_thread.Start();
+  {
+    test_agent agent(Settings("a1", service.endpoint().port));
+    TakeOverJournals(agent);
+    const std::vector<std::string> keys = {"refused", "first", "second"};
+    for (std::size_t i = 0; i < keys.size(); ++i) {
+      agent.Receive(BookingAttempt(MakeAttemptId("e1", i), keys[i]));
+      const answer_end_message end = agent.AwaitEnd(i + 1);
+      EXPECT_EQ(end.http_status, i == 0 ? kRefused : 200) << keys[i];
+      EXPECT_EQ(agent.Await<answer_part_message>(i + 1)[i].data, keys[i]);
+    }
+  }
+  service_thread.Stop();
+  EXPECT_EQ(served, 3);
+}
+
 // Guards against two agents of the same upstream that both run bookings.
 TEST_F(agent_traffic_test, Booking_AgentReplaced_FirstRunsNothingMore) {
   test_agent first(ServiceSettings());
