Open a connection for each order to an engine

If an engine sends a response a second time on the kept connection, the agent takes the copy for the response to its next order. The copy of a 422 makes a version count as failed that the engine loads, that of a 409 makes the agent raise its fence while the engine loads, and that of a success of any call hides a refused order until the next read of the state. Nobody has reported this; the tests reproduce it.

Cause: orders share the pool of connections with staging and reads of the state, and their responses carry no id.

Orders now use a client of their own that opens a connection for each. Staging and reads keep theirs: chunks are named by their digest, and a state that is read too early is read again.

Cost: one connection for each order.

--- a/src/program/engine_client.cc
+++ b/src/program/engine_client.cc
@@ -70,7 +70,9 @@
 
 engine_client::engine_client(boost::asio::io_context& context,
                              http_endpoint engine)
-    : client_(context), engine_(std::move(engine)) {
+    : client_(context),
+      order_client_(context, SingleUseConnections()),
+      engine_(std::move(engine)) {
   client_.set_body_limit(manifest_limits{}.max_chunk_size);
 }
 
@@ -162,7 +164,7 @@
   request.target = kOrdersPath;
   request.body = OrderBody(order, manifest);
   const result<http_response> answered =
-      co_await client_.Request(engine_, std::move(request), timeout);
+      co_await order_client_.Request(engine_, std::move(request), timeout);
   if (!IsOk(answered)) {
     answer.reason = ErrorOf(answered).detail;
     co_return answer;
--- a/src/program/engine_client.h
+++ b/src/program/engine_client.h
@@ -45,6 +45,7 @@
 
  private:
   http_client client_;
+  http_client order_client_;
   http_endpoint engine_;
 };
 
