Open a connection for each call of object_client

If the platform sends a response a second time on the kept connection, the copy is taken for the response to the next call. Nobody has reported this; the tests reproduce the wrong results of the calls, not a second run.

Cause: the responses carry no id and were matched by their position on a connection that all calls share.

Each call now opens a connection.

--- a/src/platform/object_client.cc
+++ b/src/platform/object_client.cc
@@ -42,7 +42,8 @@
 
 object_client::object_client(boost::asio::io_context& context,
                              http_endpoint platform)
-    : client_(context), platform_(std::move(platform)) {}
+    : client_(context, SingleUseConnections()),
+      platform_(std::move(platform)) {}
 
 awaitable<result<std::optional<platform_object>>> object_client::Read(
     std::string target,
