--- a/include/fireflyslip/http/http_client.h
+++ b/include/fireflyslip/http/http_client.h
@@ -85,6 +85,16 @@
   auto operator<=>(const http_client_options&) const = default;
 };
 
+/// \brief Options of a client that opens a connection for each request, so that
+/// a response that a server sends a second time is never taken for the response
+/// to a later request. For requests that carry no id which the server echoes,
+/// and whose response decides about a run, an order or a write.
+inline http_client_options SingleUseConnections() {
+  http_client_options options;
+  options.max_idle_connections = 0;
+  return options;
+}
+
 /// \brief HTTP/1.1 client with a connection pool, on one `io_context`.
 class http_client {
  public:
@@ -100,7 +110,7 @@
   /// was sent, and with `kUpstreamFailed` if the outcome is unknown. A response
   /// with more bytes than expected fails with `kResponseTooLarge`, and its
   /// connection is closed. A request that fails on a reused connection is not
-  /// retried.
+  /// retried. The connection of a response with status 400 or above is closed.
   /// \param timeout for the whole response, or only for its head if
   /// `read_timeout` is set.
   /// \param read_timeout longest time between two parts of the body; zero for
