Believe no response without an id on a reused connection

A caller could get the response to an earlier request: a success or an error without a request id was forwarded, although on a connection that has carried another response it may be an earlier one once more. What such a response states about its upstream was taken as well, so that an upstream that was leaving or limited only according to the copy got no requests any more.

Only refusals without an id were checked. The cause is the same for each response: position on the connection does not tell which request it answers.

Such a response is now a failure with unknown outcome before anything is taken from it. A request without an id, whose response cannot name it either, goes on a new connection, where the first response is its own.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -411,8 +411,11 @@
     read_timeout =
         std::max(*placement_->start_deadline - started_at, duration(0));
   }
-  const duration max_idle = repeatable ? duration(kRepeatableMaxIdle)
-                                       : duration(kNonIdempotentMaxIdle);
+  // Only on a new connection can a response be told from an earlier one without
+  // an id.
+  const duration max_idle = metadata_.attempt_id.empty() ? duration(0)
+                            : repeatable ? duration(kRepeatableMaxIdle)
+                                         : duration(kNonIdempotentMaxIdle);
   canceller_ = std::make_shared<call_canceller>();
   http_request message = MakeUpstreamRequest();
   const auto opened = co_await gateway_.upstream_client().Open(
@@ -479,12 +482,11 @@
     report.detail = "answer to another request";
     co_return report;
   }
-  // A refusal that does not name its request may be an earlier one once more.
-  if (response.not_executed && response.attempt_id.empty() &&
-      reader->connection_reused()) {
+  // A response that does not name its request may be an earlier one once more.
+  if (response.attempt_id.empty() && reader->connection_reused()) {
     ++history_.may_have_run;
     report.status = attempt_status::kFailed;
-    report.detail = "refusal without a request id on a reused connection";
+    report.detail = "response without a request id on a reused connection";
     co_return report;
   }
   if (response.advice) {
--- a/tests/gateway/faulty_upstream_test.cc
+++ b/tests/gateway/faulty_upstream_test.cc
@@ -146,6 +146,67 @@
   EXPECT_EQ(second.received.size(), 0U);
 }
 
+// Guards against an answer to an earlier request: a response that does not name
+// its request is not forwarded if it can be an earlier one.
+TEST_F(faulty_upstream_test, Booking_UnnamedOnReusedConnection_NotForwarded) {
+  for (const std::string status : {"200 OK", "404 Not Found", "500 Error"}) {
+    SCOPED_TRACE(status);
+    Configure();
+    entries_.clear();
+    wrote_ = 0;
+    const std::string unnamed =
+        "HTTP/1.1 " + status +
+        "\r\nResponse-Seal: seal\r\nContent-Length: 2\r\n\r\nno";
+    AddScriptedUpstream({{Success("id0")}, {unnamed + Success("id1")}}, wrote_);
+    EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id0")), 200);
+    const auto answer = Call(MakeNumbered("/book/1", "id1"));
+    ASSERT_TRUE(IsOk(answer));
+    EXPECT_EQ(ValueOf(answer).status, 502);
+    EXPECT_EQ(ValueOf(answer).Field("Response-Seal"), "");
+  }
+}
+
+// Guards against the same for what such a response states about its upstream,
+// which would get no requests any more.
+TEST_F(faulty_upstream_test, Advice_UnnamedOnReusedConnection_Ignored) {
+  for (const std::string advice :
+       {"Server-Leaving: 1", "Server-Limit: 0", "Retry-After: 20"}) {
+    SCOPED_TRACE(advice);
+    Configure();
+    entries_.clear();
+    upstreams_.clear();
+    wrote_ = 0;
+    const std::string unnamed = "HTTP/1.1 503 Service Unavailable\r\n" +
+                                advice + "\r\nContent-Length: 0\r\n\r\n";
+    AddScriptedUpstream({{Success("id0")}, {unnamed}, {Success("id2")}},
+                        wrote_);
+    const upstream& second = AddUpstream(Echo());
+    EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id0")), 200);
+    EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id1")), 502);
+    EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id2")), 200);
+    EXPECT_EQ(wrote_, 3U);
+    EXPECT_EQ(second.received.size(), 0U);
+  }
+}
+
+// Guards against an unknown outcome for a request without an id, whose response
+// cannot name it either.
+TEST_F(faulty_upstream_test, RequestWithoutId_AfterOthers_ResponseBelieved) {
+  Configure();
+  http_request request = MakeRequest("/book/1");
+  std::erase_if(request.fields, [](const http_field& field) {
+    return field.name == "Attempt-Id";
+  });
+  AddScriptedUpstream(
+      {{Success("id0")},
+       {"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"},
+       {Refusal("")}},
+      wrote_);
+  EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id0")), 200);
+  EXPECT_EQ(CallStatus(request), 400);
+  EXPECT_EQ(CallStatus(request), 503);
+}
+
 // Guards against "not run" for a booking that runs: an upstream refuses it
 // under its former id, and the copy of the refusal is taken for the response to
 // the second try, which goes to the same address. A request that may be
