Do not send a failed request again on the same connection

Callers saw 502 for a request that may be repeated and was answered by an upstream. A response without a signature, or a response to a resumed stream that is no stream, is a failure, and the request is sent again. Under another id of an upstream at the same address it went on the same connection, and a copy of the failed response, with the id of the request, was taken for the response. Each such copy used up one of the attempts that the route allows.

The connection was kept without excluding the request, because this was decided by the status alone. It now follows from the decision on the response: after each one that is not forwarded the request is excluded.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -548,42 +548,48 @@
     }
     response.body += ValueOf(part);
   }
-  if (response.status >= kFirstServerError ||
-      platform::IsRefusalStatus(response.status)) {
+  if (auto failed = CheckResponse(response)) {
+    // The request may be sent again to the same address.
     reader->ReleaseForOtherRequests();
-  } else {
-    reader->ReleaseConnection();
+    if (failed->outcome == attempt_outcome::kRanAndFailed) {
+      failed->upstream_response = std::move(response);
+    }
+    co_return *std::move(failed);
   }
+  reader->ReleaseConnection();
   attempt_report report;
+  gateway_.crashes().AttemptBegun(id_, MonotonicNow());
+  response_delay_ = MonotonicNow() - received_at_;
+  status_ = response.status;
+  outcome_ = "answered";
+  report.delivered = true;
+  response_sent_ = true;
+  co_await client_.Send(std::move(response));
+  co_return report;
+}
+
+std::optional<exchange::attempt_report> exchange::CheckResponse(
+    const http_response& response) const {
+  attempt_report report;
+  report.status = attempt_status::kFailed;
   const platform::response_metadata metadata =
       platform::DecodeResponseMetadata(response);
   const bool success = response.status < kFirstClientError;
   if (success && !metadata.has_signature) {
-    report.status = attempt_status::kFailed;
     report.detail = "response without a signature";
-    co_return report;
+    return report;
   }
   if (platform::IsRefusalStatus(response.status)) {
-    report.status = attempt_status::kFailed;
     report.detail = "status " + std::to_string(response.status) +
                     " without the statement that the request was not run";
-    co_return report;
+    return report;
   }
   if (response.status >= kFirstServerError || stream_started_) {
     report.outcome = attempt_outcome::kRanAndFailed;
-    report.status = attempt_status::kFailed;
     report.detail = "status " + std::to_string(response.status);
-    report.upstream_response = std::move(response);
-    co_return report;
+    return report;
   }
-  gateway_.crashes().AttemptBegun(id_, MonotonicNow());
-  response_delay_ = MonotonicNow() - received_at_;
-  status_ = response.status;
-  outcome_ = "answered";
-  report.delivered = true;
-  response_sent_ = true;
-  co_await client_.Send(std::move(response));
-  co_return report;
+  return std::nullopt;
 }
 
 awaitable<exchange::attempt_report> exchange::ForwardStream(
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -88,6 +88,10 @@
       std::shared_ptr<response_reader> reader);
   boost::asio::awaitable<attempt_report> ForwardResponse(
       std::shared_ptr<response_reader> reader);
+  /// \brief Report of a whole response that is a failure; empty if it is
+  /// forwarded.
+  std::optional<attempt_report> CheckResponse(
+      const http_response& response) const;
   boost::asio::awaitable<attempt_report> ForwardStream(
       std::shared_ptr<response_reader> reader);
   boost::asio::awaitable<bool> WriteEvents(const http_response& head,
--- a/tests/gateway/faulty_upstream_test.cc
+++ b/tests/gateway/faulty_upstream_test.cc
@@ -251,6 +251,21 @@
   }
 }
 
+// Guards against the same with another failure than a refusal: the request may
+// be repeated, and goes to the same address under another id of the upstream.
+TEST_F(faulty_upstream_test, Request_UnsignedResponseRepeated_CopyNotBelieved) {
+  Configure();
+  const std::string unsigned_response =
+      "HTTP/1.1 201 Created\r\nAttempt-Id: id0\r\nContent-Length: 0\r\n\r\n";
+  std::size_t received = 0;
+  repeating_upstream server{[&](const std::string& /*head*/) {
+    return ++received == 1 ? unsigned_response : Success("id0");
+  }};
+  AddRepeatingUpstream(server, {"i-1", "i-2"});
+  AllowRetries();
+  EXPECT_EQ(CallStatus(MakeNumbered("/look/1", "id0")), 200);
+}
+
 // Guards against a refusal that is not believed, although it is the first
 // response on its connection and thus cannot be an earlier one.
 TEST_F(faulty_upstream_test, Booking_UnnamedRefusalOnNewConnection_Retried) {
