Log the status of a try only if its response was for the request

failed_tries gave the status of a skipped response if the connection then ended or the caller left: may_have_run/503 for a request that got no response. It called the connection of a try without any response new, also if it had carried others. Neither refusals nor repeated responses can be told from lost ones by such a line.

The status is now that of a response to the request, and the connection is `-` if it brought no response.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -441,10 +441,10 @@
   attempt_report report;
   if (IsOk(skipped)) {
     report = co_await ReadResponse(reader);
+    report.response_status = reader->head().status;
   } else {
     report = report_failure(ErrorOf(skipped));
   }
-  report.response_status = reader->head().status;
   report.connection_reused = reader->connection_reused();
   co_return report;
 }
@@ -861,7 +861,9 @@
   failed_tries_ += failed_tries_.empty() ? "" : ",";
   failed_tries_ += upstream_ + "/" + std::string(ToString(report.outcome));
   failed_tries_ += "/" + std::to_string(report.response_status);
-  failed_tries_ += report.connection_reused ? "/reused" : "/new";
+  failed_tries_ += !report.connection_reused   ? "/-"
+                   : *report.connection_reused ? "/reused"
+                                               : "/new";
   failed_tries_ += "@" + Milliseconds(MonotonicNow() - received_at_);
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -57,8 +57,8 @@
     bool interrupted = false;  // the upstream ended the connection
     std::string detail;
     std::optional<http_response> upstream_response;  // with an error status
-    int response_status = 0;         // of any response; 0 if there was none
-    bool connection_reused = false;  // the connection had a response before
+    int response_status = 0;  // of any response to the request; 0 for none
+    std::optional<bool> connection_reused;  // empty without any response
   };
 
   std::optional<error> MatchRoute();
--- a/tests/gateway/faulty_upstream_test.cc
+++ b/tests/gateway/faulty_upstream_test.cc
@@ -105,6 +105,24 @@
   }
 }
 
+// Guards against a log that gives the status of an earlier response to a
+// request that got none, or calls a connection new that is not known to be.
+TEST_F(faulty_upstream_test, FailedTries_NoResponse_NoStatusLogged) {
+  Configure();
+  AddScriptedUpstream(
+      {{Refusal("id0")}, {Refusal("id0"), true}, {"HTTP/", true}}, wrote_);
+  testing::internal::CaptureStdout();
+  for (const std::string id : {"id0", "id1", "id2"}) {
+    CallStatus(MakeNumbered("/book/1", id));
+  }
+  const std::string log = testing::internal::GetCapturedStdout();
+  for (const std::string failed :
+       {"not_run/503/new@", "may_have_run/0/reused@", "may_have_run/0/-@"}) {
+    EXPECT_NE(log.find("failed_tries=i-scripted/" + failed), std::string::npos)
+        << log;
+  }
+}
+
 // Guards against reading without end from an upstream that repeats a response
 // again and again.
 TEST_F(faulty_upstream_test, Booking_RefusalRepeatedAgainAndAgain_502) {
