Test copies of each refusal in front of a response

Copies of 400, 408, 421, 429 and 503 with a body, chunks, interim responses before and after, copies of a success and several copies in a row are skipped.

--- a/tests/gateway/faulty_upstream_test.cc
+++ b/tests/gateway/faulty_upstream_test.cc
@@ -84,6 +84,37 @@
   EXPECT_EQ(second.received.size(), 1U);
 }
 
+// The same for each refusal and framing, and for several copies.
+TEST_F(faulty_upstream_test, Booking_AnyResponseRepeated_Answered) {
+  constexpr char kInterim[] = "HTTP/1.1 100 Continue\r\n\r\n";
+  constexpr char kEmpty[] = "Content-Length: 0\r\n\r\n";
+  std::vector<std::string> copies = {
+      Success("id0"), Success("id0") + Refusal("id0") + Misdirected("id0")};
+  for (const std::string status : {"400", "408", "421", "429", "503"}) {
+    std::string head = "HTTP/1.1 " + status;
+    head += " Refused\r\nNot-Executed: 1\r\nAttempt-Id: id0\r\n";
+    copies.push_back(kInterim + head);
+    copies.back().append(kEmpty);
+    copies.push_back(head);
+    copies.back().append(kEmpty).append(kInterim);
+    copies.push_back(head);
+    copies.back().append("Content-Length: 40000\r\n\r\n").append(40000, 'x');
+    copies.push_back(head);
+    copies.back().append(
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n");
+  }
+  for (const std::string& copy : copies) {
+    SCOPED_TRACE(copy.substr(0, 120));
+    Configure();
+    entries_.clear();
+    wrote_ = 0;
+    AddScriptedUpstream({{Success("id0")}, {copy + Success("id1")}}, wrote_);
+    EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id0")), 200);
+    EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id1")), 200);
+    EXPECT_EQ(wrote_, 2U);
+  }
+}
+
 // Guards against taking the end of a connection for a statement: it ends after
 // the repeated refusal, in each place, and the booking may have run.
 TEST_F(faulty_upstream_test, Booking_ClosedAfterRepeatedRefusal_502) {
