--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -411,8 +411,11 @@
     read_timeout =
         std::max(*placement_->start_deadline - started_at, duration(0));
   }
-  const duration max_idle = repeatable ? duration(kRepeatableMaxIdle)
-                                       : duration(kNonIdempotentMaxIdle);
+  // Only on a new connection can a response be told from an earlier one without
+  // an id.
+  const duration max_idle = metadata_.attempt_id.empty() ? duration(0)
+                            : repeatable ? duration(kRepeatableMaxIdle)
+                                         : duration(kNonIdempotentMaxIdle);
   canceller_ = std::make_shared<call_canceller>();
   http_request message = MakeUpstreamRequest();
   const auto opened = co_await gateway_.upstream_client().Open(
@@ -438,10 +441,10 @@
   attempt_report report;
   if (IsOk(skipped)) {
     report = co_await ReadResponse(reader);
+    report.response_status = reader->head().status;
   } else {
     report = report_failure(ErrorOf(skipped));
   }
-  report.response_status = reader->head().status;
   report.connection_reused = reader->connection_reused();
   co_return report;
 }
@@ -479,12 +482,11 @@
     report.detail = "answer to another request";
     co_return report;
   }
-  // A refusal that does not name its request may be an earlier one once more.
-  if (response.not_executed && response.attempt_id.empty() &&
-      reader->connection_reused()) {
+  // A response that does not name its request may be an earlier one once more.
+  if (response.attempt_id.empty() && reader->connection_reused()) {
     ++history_.may_have_run;
     report.status = attempt_status::kFailed;
-    report.detail = "refusal without a request id on a reused connection";
+    report.detail = "response without a request id on a reused connection";
     co_return report;
   }
   if (response.advice) {
@@ -546,42 +548,48 @@
     }
     response.body += ValueOf(part);
   }
-  if (response.status >= kFirstServerError ||
-      platform::IsRefusalStatus(response.status)) {
+  if (auto failed = CheckResponse(response)) {
+    // The request may be sent again to the same address.
     reader->ReleaseForOtherRequests();
-  } else {
-    reader->ReleaseConnection();
+    if (failed->outcome == attempt_outcome::kRanAndFailed) {
+      failed->upstream_response = std::move(response);
+    }
+    co_return *std::move(failed);
   }
+  reader->ReleaseConnection();
   attempt_report report;
+  gateway_.crashes().AttemptBegun(id_, MonotonicNow());
+  response_delay_ = MonotonicNow() - received_at_;
+  status_ = response.status;
+  outcome_ = "answered";
+  report.delivered = true;
+  response_sent_ = true;
+  co_await client_.Send(std::move(response));
+  co_return report;
+}
+
+std::optional<exchange::attempt_report> exchange::CheckResponse(
+    const http_response& response) const {
+  attempt_report report;
+  report.status = attempt_status::kFailed;
   const platform::response_metadata metadata =
       platform::DecodeResponseMetadata(response);
   const bool success = response.status < kFirstClientError;
   if (success && !metadata.has_signature) {
-    report.status = attempt_status::kFailed;
     report.detail = "response without a signature";
-    co_return report;
+    return report;
   }
   if (platform::IsRefusalStatus(response.status)) {
-    report.status = attempt_status::kFailed;
     report.detail = "status " + std::to_string(response.status) +
                     " without the statement that the request was not run";
-    co_return report;
+    return report;
   }
   if (response.status >= kFirstServerError || stream_started_) {
     report.outcome = attempt_outcome::kRanAndFailed;
-    report.status = attempt_status::kFailed;
     report.detail = "status " + std::to_string(response.status);
-    report.upstream_response = std::move(response);
-    co_return report;
+    return report;
   }
-  gateway_.crashes().AttemptBegun(id_, MonotonicNow());
-  response_delay_ = MonotonicNow() - received_at_;
-  status_ = response.status;
-  outcome_ = "answered";
-  report.delivered = true;
-  response_sent_ = true;
-  co_await client_.Send(std::move(response));
-  co_return report;
+  return std::nullopt;
 }
 
 awaitable<exchange::attempt_report> exchange::ForwardStream(
@@ -853,7 +861,9 @@
   failed_tries_ += failed_tries_.empty() ? "" : ",";
   failed_tries_ += upstream_ + "/" + std::string(ToString(report.outcome));
   failed_tries_ += "/" + std::to_string(report.response_status);
-  failed_tries_ += report.connection_reused ? "/reused" : "/new";
+  failed_tries_ += !report.connection_reused   ? "/-"
+                   : *report.connection_reused ? "/reused"
+                                               : "/new";
   failed_tries_ += "@" + Milliseconds(MonotonicNow() - received_at_);
 }
 
--- a/tests/gateway/faulty_upstream_test.cc
+++ b/tests/gateway/faulty_upstream_test.cc
@@ -84,6 +84,37 @@
   EXPECT_EQ(second.received.size(), 1U);
 }
 
+// The same for each refusal and framing, and for several copies.
+TEST_F(faulty_upstream_test, Booking_AnyResponseRepeated_Answered) {
+  constexpr char kInterim[] = "HTTP/1.1 100 Continue\r\n\r\n";
+  constexpr char kEmpty[] = "Content-Length: 0\r\n\r\n";
+  std::vector<std::string> copies = {
+      Success("id0"), Success("id0") + Refusal("id0") + Misdirected("id0")};
+  for (const std::string status : {"400", "408", "421", "429", "503"}) {
+    std::string head = "HTTP/1.1 " + status;
+    head += " Refused\r\nNot-Executed: 1\r\nAttempt-Id: id0\r\n";
+    copies.push_back(kInterim + head);
+    copies.back().append(kEmpty);
+    copies.push_back(head);
+    copies.back().append(kEmpty).append(kInterim);
+    copies.push_back(head);
+    copies.back().append("Content-Length: 40000\r\n\r\n").append(40000, 'x');
+    copies.push_back(head);
+    copies.back().append(
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n");
+  }
+  for (const std::string& copy : copies) {
+    SCOPED_TRACE(copy.substr(0, 120));
+    Configure();
+    entries_.clear();
+    wrote_ = 0;
+    AddScriptedUpstream({{Success("id0")}, {copy + Success("id1")}}, wrote_);
+    EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id0")), 200);
+    EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id1")), 200);
+    EXPECT_EQ(wrote_, 2U);
+  }
+}
+
 // Guards against taking the end of a connection for a statement: it ends after
 // the repeated refusal, in each place, and the booking may have run.
 TEST_F(faulty_upstream_test, Booking_ClosedAfterRepeatedRefusal_502) {
@@ -105,6 +136,26 @@
   }
 }
 
+// Guards against a log that gives the status of an earlier response to a
+// request that got none, or calls a connection new that is not known to be.
+TEST_F(faulty_upstream_test, FailedTries_NoResponse_NoStatusLogged) {
+  // After many other tests, the rate limit of the log would drop the lines.
+  context_.run_for(milliseconds(100));
+  Configure();
+  AddScriptedUpstream(
+      {{Refusal("id0")}, {Refusal("id0"), true}, {"HTTP/", true}}, wrote_);
+  testing::internal::CaptureStdout();
+  for (const std::string id : {"id0", "id1", "id2"}) {
+    CallStatus(MakeNumbered("/book/1", id));
+  }
+  const std::string log = testing::internal::GetCapturedStdout();
+  for (const std::string failed :
+       {"not_run/503/new@", "may_have_run/0/reused@", "may_have_run/0/-@"}) {
+    EXPECT_NE(log.find("failed_tries=i-scripted/" + failed), std::string::npos)
+        << log;
+  }
+}
+
 // Guards against reading without end from an upstream that repeats a response
 // again and again.
 TEST_F(faulty_upstream_test, Booking_RefusalRepeatedAgainAndAgain_502) {
@@ -146,6 +197,67 @@
   EXPECT_EQ(second.received.size(), 0U);
 }
 
+// Guards against an answer to an earlier request: a response that does not name
+// its request is not forwarded if it can be an earlier one.
+TEST_F(faulty_upstream_test, Booking_UnnamedOnReusedConnection_NotForwarded) {
+  for (const std::string status : {"200 OK", "404 Not Found", "500 Error"}) {
+    SCOPED_TRACE(status);
+    Configure();
+    entries_.clear();
+    wrote_ = 0;
+    const std::string unnamed =
+        "HTTP/1.1 " + status +
+        "\r\nResponse-Seal: seal\r\nContent-Length: 2\r\n\r\nno";
+    AddScriptedUpstream({{Success("id0")}, {unnamed + Success("id1")}}, wrote_);
+    EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id0")), 200);
+    const auto answer = Call(MakeNumbered("/book/1", "id1"));
+    ASSERT_TRUE(IsOk(answer));
+    EXPECT_EQ(ValueOf(answer).status, 502);
+    EXPECT_EQ(ValueOf(answer).Field("Response-Seal"), "");
+  }
+}
+
+// Guards against the same for what such a response states about its upstream,
+// which would get no requests any more.
+TEST_F(faulty_upstream_test, Advice_UnnamedOnReusedConnection_Ignored) {
+  for (const std::string advice :
+       {"Server-Leaving: 1", "Server-Limit: 0", "Retry-After: 20"}) {
+    SCOPED_TRACE(advice);
+    Configure();
+    entries_.clear();
+    upstreams_.clear();
+    wrote_ = 0;
+    const std::string unnamed = "HTTP/1.1 503 Service Unavailable\r\n" +
+                                advice + "\r\nContent-Length: 0\r\n\r\n";
+    AddScriptedUpstream({{Success("id0")}, {unnamed}, {Success("id2")}},
+                        wrote_);
+    const upstream& second = AddUpstream(Echo());
+    EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id0")), 200);
+    EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id1")), 502);
+    EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id2")), 200);
+    EXPECT_EQ(wrote_, 3U);
+    EXPECT_EQ(second.received.size(), 0U);
+  }
+}
+
+// Guards against an unknown outcome for a request without an id, whose response
+// cannot name it either.
+TEST_F(faulty_upstream_test, RequestWithoutId_AfterOthers_ResponseBelieved) {
+  Configure();
+  http_request request = MakeRequest("/book/1");
+  std::erase_if(request.fields, [](const http_field& field) {
+    return field.name == "Attempt-Id";
+  });
+  AddScriptedUpstream(
+      {{Success("id0")},
+       {"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"},
+       {Refusal("")}},
+      wrote_);
+  EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id0")), 200);
+  EXPECT_EQ(CallStatus(request), 400);
+  EXPECT_EQ(CallStatus(request), 503);
+}
+
 // Guards against "not run" for a booking that runs: an upstream refuses it
 // under its former id, and the copy of the refusal is taken for the response to
 // the second try, which goes to the same address. A request that may be
@@ -190,6 +302,21 @@
   }
 }
 
+// Guards against the same with another failure than a refusal: the request may
+// be repeated, and goes to the same address under another id of the upstream.
+TEST_F(faulty_upstream_test, Request_UnsignedResponseRepeated_CopyNotBelieved) {
+  Configure();
+  const std::string unsigned_response =
+      "HTTP/1.1 201 Created\r\nAttempt-Id: id0\r\nContent-Length: 0\r\n\r\n";
+  std::size_t received = 0;
+  repeating_upstream server{[&](const std::string& /*head*/) {
+    return ++received == 1 ? unsigned_response : Success("id0");
+  }};
+  AddRepeatingUpstream(server, {"i-1", "i-2"});
+  AllowRetries();
+  EXPECT_EQ(CallStatus(MakeNumbered("/look/1", "id0")), 200);
+}
+
 // Guards against a refusal that is not believed, although it is the first
 // response on its connection and thus cannot be an earlier one.
 TEST_F(faulty_upstream_test, Booking_UnnamedRefusalOnNewConnection_Retried) {
