Refuse at once only what was refused; close connections without ids

A stream whose upstream states no version, and a booking that was never sent, were given up at once when their only upstream was gone; a new upstream 100 ms later was missed. The dispatcher now refuses at once only if the latest try was refused and no response has begun.

A response without an id is not believed on a reused connection, so an upstream that sends no ids lost the second request on each connection. Such responses now close their connection, as refusals without an id do. Booking_UpstreamWithoutIds guards against it.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -157,6 +157,7 @@
       break;
     }
     RecordFailedTry(report);
+    last_outcome_ = report.outcome;
     if (cancel_cause_ != cancel_cause::kNone) {
       break;
     }
@@ -338,6 +339,8 @@
   submission.cost = EstimatedCost();
   submission.prefill_time = EstimatedPrefillTime();
   submission.resubmitted = !first;
+  submission.refused =
+      last_outcome_ == attempt_outcome::kNotRun && !stream_started_;
   submission.response_due = stream_started_
                                 ? now + kResumePlacementTimeout
                                 : received_at_ + route_->target_latency;
@@ -498,10 +501,7 @@
     report.detail = "upstream did not run the request, status " +
                     std::to_string(reader->head().status);
     co_await reader->Read(ReadTimeout());
-    // Once more, a refusal without an id could be meant for any request.
-    if (!response.attempt_id.empty()) {
-      reader->ReleaseForOtherRequests();
-    }
+    Release(*reader, /*delivered=*/false);
     co_return report;
   }
   ++history_.may_have_run;
@@ -549,14 +549,13 @@
     response.body += ValueOf(part);
   }
   if (auto failed = CheckResponse(response)) {
-    // The request may be sent again to the same address.
-    reader->ReleaseForOtherRequests();
+    Release(*reader, /*delivered=*/false);
     if (failed->outcome == attempt_outcome::kRanAndFailed) {
       failed->upstream_response = std::move(response);
     }
     co_return *std::move(failed);
   }
-  reader->ReleaseConnection();
+  Release(*reader, /*delivered=*/true);
   attempt_report report;
   gateway_.crashes().AttemptBegun(id_, MonotonicNow());
   response_delay_ = MonotonicNow() - received_at_;
@@ -568,6 +567,18 @@
   co_return report;
 }
 
+void exchange::Release(response_reader& reader, bool delivered) {
+  // If it is repeated, a response without an id could be meant for any request.
+  if (platform::DecodeResponseMetadata(reader.head()).attempt_id.empty()) {
+    return;
+  }
+  if (delivered) {
+    reader.ReleaseConnection();
+  } else {
+    reader.ReleaseForOtherRequests();
+  }
+}
+
 std::optional<exchange::attempt_report> exchange::CheckResponse(
     const http_response& response) const {
   attempt_report report;
@@ -643,7 +654,7 @@
     report.detail = "stream ended within an event or before the first one";
     co_return report;
   }
-  reader->ReleaseConnection();
+  Release(*reader, /*delivered=*/true);
   report.delivered = true;
   outcome_ = "answered";
   response_sent_ = true;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -88,6 +88,10 @@
       std::shared_ptr<response_reader> reader);
   boost::asio::awaitable<attempt_report> ForwardResponse(
       std::shared_ptr<response_reader> reader);
+  /// \brief Returns the connection of a complete response to the pool, unless a
+  /// copy of the response could not be told from the response to a later
+  /// request. One that was not delivered may be followed by another try.
+  static void Release(response_reader& reader, bool delivered);
   /// \brief Report of a whole response that is a failure; empty if it is
   /// forwarded.
   std::optional<attempt_report> CheckResponse(
@@ -153,6 +157,7 @@
   int status_ = 0;
   std::string outcome_;
   std::string upstream_;
+  std::optional<attempt_outcome> last_outcome_;  // of the last failed try
   std::string last_failure_;
   std::string failed_tries_;
   std::optional<duration> placement_delay_;
--- a/src/placement/dispatcher.cc
+++ b/src/placement/dispatcher.cc
@@ -80,8 +80,8 @@
   }
   const std::optional<time_point> opening = EarliestOpening(event);
   // The client may return to the upstreams that have been tried; this request
-  // may not. A stream that has begun can only be continued here.
-  if (!opening && event.resubmitted && !event.version) {
+  // may not.
+  if (!opening && event.refused) {
     Refuse(event.id, error_kind::kNoUpstream);
     return;
   }
--- a/tests/gateway/faulty_upstream_test.cc
+++ b/tests/gateway/faulty_upstream_test.cc
@@ -342,6 +342,46 @@
   }
 }
 
+// Guards against failing the requests to an upstream whose responses have no
+// id, from the second one on a connection on.
+TEST_F(faulty_upstream_test, Booking_UpstreamWithoutIds_AnsweredEachTime) {
+  Configure();
+  http_response unnamed = MakeResponse(200, "ok");
+  unnamed.fields.erase(unnamed.fields.begin());
+  const upstream& server = AddUpstream(RespondWith(unnamed));
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(CallStatus(MakeRequest("/book/1")), 200);
+  }
+  EXPECT_EQ(server.received.size(), 3U);
+}
+
+// Guards against breaking off a stream without a stated version while an
+// upstream that can continue it may still appear.
+TEST_F(faulty_upstream_test, Stream_OnlyUpstreamLost_ContinuedByNewUpstream) {
+  Configure();
+  AddUpstream(Stream(kFirstEvent, false));
+  AllowRetries();
+  boost::asio::steady_timer timer(context_, milliseconds(100));
+  timer.async_wait([this](const boost::system::error_code& /*code*/) {
+    AddUpstream(Stream("id: 2\ndata: b\n\n", true));
+  });
+  EXPECT_TRUE(CallPartially(MakeRequest("/chat/1")).complete);
+}
+
+// The same for a booking that was not sent.
+TEST_F(faulty_upstream_test, Booking_OnlyUpstreamGone_AnsweredByNewUpstream) {
+  Configure();
+  Listen();
+  AddRawEntry("i-gone");
+  acceptor_.reset();
+  AllowRetries();
+  boost::asio::steady_timer timer(context_, milliseconds(100));
+  timer.async_wait([this](const boost::system::error_code& /*code*/) {
+    AddUpstream(Echo());
+  });
+  EXPECT_EQ(CallStatus(MakeRequest("/book/1")), 200);
+}
+
 // Guards against the text of an error in the middle of a stream: the stream
 // broke off, and the next upstream responds with an error.
 TEST_F(faulty_upstream_test, Stream_ErrorFromNextUpstream_TruncatedWithoutIt) {
--- a/tests/placement/dispatcher_test.cc
+++ b/tests/placement/dispatcher_test.cc
@@ -100,11 +100,12 @@
 
 // Guards against holding a request that each of its upstreams has refused until
 // its wait is over.
-TEST_F(dispatcher_test, Resubmit_AllUpstreamsTried_RefusedAtOnce) {
+TEST_F(dispatcher_test, Resubmit_AllUpstreamsRefused_RefusedAtOnce) {
   Add("a");
   Add("b");
   dispatcher::submit work = Work(1);
   work.resubmitted = true;
+  work.refused = true;
   work.excluded = {upstream_id("a")};
   Handle(work);
   EXPECT_EQ(started_[1], "b");
@@ -115,14 +116,13 @@
   EXPECT_EQ(refused_[1].kind, error_kind::kNoUpstream);
 }
 
-// Guards against breaking off a stream while the upstream that could continue
-// it may still appear.
-TEST_F(dispatcher_test, Resume_AllUpstreamsTried_Waits) {
+// Guards against giving up a request that was interrupted or not sent while
+// another upstream may still appear.
+TEST_F(dispatcher_test, Resubmit_AllUpstreamsLost_Waits) {
   Add("a");
   dispatcher::submit work = Work(1);
   work.resubmitted = true;
   work.excluded = {upstream_id("a")};
-  work.version = 1;
   Handle(work);
   EXPECT_FALSE(refused_.contains(1));
   Add("b");
