Let a request wait that was refused under a former id

A response with 421 does not come from the addressed upstream; the new entry is about to be listed. Such a request now waits like an interrupted one.

Booking_OnlyFormerIdListed_AnsweredByNewUpstream failed before (503).

--- a/include/fireflyslip/placement/dispatcher.h
+++ b/include/fireflyslip/placement/dispatcher.h
@@ -59,7 +59,7 @@
     double cost = 1;             ///< In any unit that all requests share.
     duration prefill_time = {};  ///< Time a replica takes for the prompt.
     bool resubmitted = false;    ///< Was refused or interrupted before.
-    /// The latest try was refused, and no response has begun.
+    /// The upstream of the latest try refused it, and no response has begun.
     bool refused = false;
     time_point response_due;     ///< Latest time for the first response byte.
     time_point client_deadline;  ///< The client disconnects then.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -157,7 +157,7 @@
       break;
     }
     RecordFailedTry(report);
-    last_outcome_ = report.outcome;
+    refused_ = report.refused;
     if (cancel_cause_ != cancel_cause::kNone) {
       break;
     }
@@ -339,8 +339,7 @@
   submission.cost = EstimatedCost();
   submission.prefill_time = EstimatedPrefillTime();
   submission.resubmitted = !first;
-  submission.refused =
-      last_outcome_ == attempt_outcome::kNotRun && !stream_started_;
+  submission.refused = refused_ && !stream_started_;
   submission.response_due = stream_started_
                                 ? now + kResumePlacementTimeout
                                 : received_at_ + route_->target_latency;
@@ -498,6 +497,7 @@
   if (response.not_executed) {
     report.outcome = attempt_outcome::kNotRun;
     report.status = attempt_status::kRefused;
+    report.refused = response.advice.has_value();
     report.detail = "upstream did not run the request, status " +
                     std::to_string(reader->head().status);
     co_await reader->Read(ReadTimeout());
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -55,6 +55,7 @@
     attempt_outcome outcome = attempt_outcome::kMayHaveRun;
     attempt_status status = attempt_status::kSucceeded;
     bool interrupted = false;  // the upstream ended the connection
+    bool refused = false;      // by the addressed upstream, not by another one
     std::string detail;
     std::optional<http_response> upstream_response;  // with an error status
     int response_status = 0;  // of any response to the request; 0 for none
@@ -157,7 +158,7 @@
   int status_ = 0;
   std::string outcome_;
   std::string upstream_;
-  std::optional<attempt_outcome> last_outcome_;  // of the last failed try
+  bool refused_ = false;  // the last failed try, by the addressed upstream
   std::string last_failure_;
   std::string failed_tries_;
   std::optional<duration> placement_delay_;
--- a/tests/gateway/faulty_upstream_test.cc
+++ b/tests/gateway/faulty_upstream_test.cc
@@ -382,6 +382,21 @@
   EXPECT_EQ(CallStatus(MakeRequest("/book/1")), 200);
 }
 
+// The same for a booking that was sent to the former id of an upstream, whose
+// new entry comes later.
+TEST_F(faulty_upstream_test, Booking_OnlyFormerIdListed_AnsweredByNewUpstream) {
+  Configure();
+  repeating_upstream server{RunAsNewUpstream};
+  AddRepeatingUpstream(server, {"i-old"});
+  AllowRetries();
+  boost::asio::steady_timer timer(context_, milliseconds(100));
+  timer.async_wait([this](const boost::system::error_code& /*code*/) {
+    AddRawEntry("i-new");
+  });
+  EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id0")), 200);
+  EXPECT_EQ(server.run, std::vector<std::string>{"id0"});
+}
+
 // Guards against the text of an error in the middle of a stream: the stream
 // broke off, and the next upstream responds with an error.
 TEST_F(faulty_upstream_test, Stream_ErrorFromNextUpstream_TruncatedWithoutIt) {
