Do not count a connection that was reset before a crash as a part of it

Callers saw sound requests refused with 422 when upstreams crashed for a reason of their own. A connection that ends within 1.5 s before the report of a crash was counted as ended by the crash, and gave the crash its own, earlier time.

Connections of a gateway to the same upstream that ended more than 0.25 s before the last of them are no longer suspected. Reports may still be late, since the connections are compared with each other and not with the report. A gateway with a single connection to the upstream cannot tell; this remains.

Interrupted_LongBeforeOthers_NotSuspected fails without the change.

--- a/src/retry/crash_attribution.cc
+++ b/src/retry/crash_attribution.cc
@@ -104,11 +104,20 @@
   Expire(now);
   // Connections that end later are attributed to the same crash.
   lost_.insert_or_assign(incarnation, now);
+  time_point latest;
+  for (const interrupted_attempt& ended : interrupted_) {
+    if (ended.incarnation == incarnation) {
+      latest = std::max(latest, ended.at);
+    }
+  }
   std::erase_if(interrupted_, [&](const interrupted_attempt& ended) {
     if (ended.incarnation != incarnation) {
       return false;
     }
-    Suspect(ended, now);
+    // A connection that ended earlier than others was reset before the crash.
+    if (latest - ended.at <= kEventLength) {
+      Suspect(ended, now);
+    }
     return true;
   });
   UpdateBlocked();
--- a/tests/retry/crash_attribution_test.cc
+++ b/tests/retry/crash_attribution_test.cc
@@ -230,6 +230,19 @@
   EXPECT_THAT(core.blocked(), ElementsAre(kCrashing));
 }
 
+// Guards against a reset before a crash that moves the crash to its own time,
+// so that upstreams that crash together are several events.
+TEST_F(crash_attribution_test, Interrupted_LongBeforeOthers_NotSuspected) {
+  core_.AttemptStarted(1, 10, {kRare});
+  core_.AttemptStarted(2, 10, {kShared});
+  core_.AttemptEnded(1, true, now_);
+  now_ += milliseconds(500);
+  core_.AttemptEnded(2, true, now_);
+  core_.UpstreamLost(10, now_);
+  EXPECT_THAT(core_.CountedCrashes(kRare, now_), IsEmpty());
+  EXPECT_EQ(core_.CountedCrashes(kShared, now_).size(), 1U);
+}
+
 // Guards against evidence that is kept for ever.
 TEST_F(crash_attribution_test, Evidence_LifetimeOver_Forgotten) {
   Crash(10, {{kCrashing}});
