Count crashes without a prompt part in its favour

Callers saw sound requests with long prompts refused with 422 while upstreams crashed one after the other, in turn or together. Four events blocked a part even if it was at one of nine crashes of each; the retry of a request gave later crashes an earlier time and split events; and crashes without the part did not count in its favour.

An event now needs a share of its crashes, gets its time from the latest sighting, and events without the part raise the number that blocks it.

--- a/include/fireflyslip/retry/crash_attribution.h
+++ b/include/fireflyslip/retry/crash_attribution.h
@@ -57,7 +57,8 @@
 /// common cause, and a part that many requests share is waiting at all of them,
 /// so crashes within a short time are one event, which counts against a part
 /// that was at most of them. All crashes that one request meets, because it is
-/// retried, belong to the event of the first one.
+/// retried, belong to the event of the first one. The cause is at each event
+/// that has no other reason, so events without a part count in its favour.
 ///
 /// The owner exchanges the evidence with other gateways, since each one sees
 /// only its own requests.
@@ -134,16 +135,26 @@
   /// \brief Adds a crash; returns false if it is dropped, because there is no
   /// capacity and others of its event are known.
   static bool AddCrash(record& known, crash_id crash, known_crash seen);
-  /// \brief Crashes of one event; at least one.
-  using crash_event = std::set<crash_id>;
+  struct crash_event {
+    time_point begin;
+    std::set<crash_id> crashes;   // at least one
+    std::size_t unexplained = 0;  // crashes that no blocked part explains
+  };
+  struct event_count {
+    std::size_t counted = 0;  // events that count against the part
+    std::size_t missed = 0;   // events without it after its first one
+    std::size_t missed_before = 0;
+  };
 
   /// \brief All known crashes, by event, in order of time.
   std::vector<crash_event> Events() const;
-  /// \brief Number of events that count against a part with these crashes; 0 if
-  /// it is as likely to be in them by coincidence.
-  static std::size_t CountEvents(const std::vector<crash_event>& events,
-                                 const std::set<crash_id>& crashes,
-                                 const std::set<crash_id>& explained);
+  /// \param event_of index of the event of each crash.
+  /// \param sightings crashes of the part, of which only `crashes` count.
+  static event_count CountEvents(
+      const std::vector<crash_event>& events,
+      const std::map<crash_id, std::size_t>& event_of,
+      const std::map<crash_id, known_crash>& sightings,
+      const std::set<crash_id>& crashes);
   static std::set<crash_id> UnclearedCrashes(const record& known);
   /// \brief Record of a part; null if there is no capacity.
   record* FindOrAdd(prompt_part part);
--- a/src/retry/crash_attribution.cc
+++ b/src/retry/crash_attribution.cc
@@ -12,26 +12,49 @@
 /// A part that has never been answered is more likely to be the cause.
 constexpr std::size_t kBlockingEvents = 2;
 constexpr std::size_t kBlockingEventsIfBegunBefore = 3;
+/// Upper bound where upstreams also crash for other reasons.
+constexpr std::size_t kMaxBlockingEvents = 8;
+/// Time before the first event of a part in which events without it count in
+/// its favour.
+constexpr milliseconds kMissWindowBefore{8000};
+/// The same after its last event. It is shorter, because a blocked part is at
+/// no event.
+constexpr milliseconds kMissWindowAfter{2500};
 /// Longest time between the first and the last crash of one event. A request
 /// that is retried after a crash needs about as long to crash the next
 /// upstream.
 constexpr milliseconds kEventLength{250};
 /// Fraction of the crashes of an event at which the cause must be.
 constexpr double kMinShareOfEvent = 0.8;
-/// Events that block a part even if it was not at most of their crashes; when
+/// Events that count although the part was not at most of their crashes: when
 /// upstreams crash faster than evidence is exchanged, crashes are missing in
 /// it.
 constexpr std::size_t kCertainEvents = 4;
+/// What the part needs of the crashes of each of these events.
+constexpr double kMinShareOfCertainEvent = 0.5;
+constexpr std::size_t kMinCrashesOfCertainEvent = 4;
 /// Interrupted requests that are remembered.
 constexpr std::size_t kMaxSuspectedRequests = 4096;
 /// Crashes that are kept of one part.
-constexpr std::size_t kMaxCrashes = 16;
+constexpr std::size_t kMaxCrashes = 24;
 /// Longest time between the end of a connection to a crashed upstream and the
 /// report of its agent, in either order.
 constexpr milliseconds kReportDelay{1500};
 /// Parts that are remembered as answered.
 constexpr std::size_t kMaxBegunParts = 4096;
 
+/// Number of events that block a part.
+/// \param missed events after its first one at which the part was not.
+/// \param missed_before events before its first one.
+std::size_t RequiredEvents(bool never_begun,
+                           std::size_t missed,
+                           std::size_t missed_before) {
+  const std::size_t alone =
+      never_begun ? kBlockingEvents : kBlockingEventsIfBegunBefore;
+  return std::min(alone + (missed + 1) / 2 + missed_before / 2,
+                  kMaxBlockingEvents);
+}
+
 }  // namespace
 
 crash_id CrashOf(const upstream_id& upstream, std::uint64_t started_ms) {
@@ -256,52 +279,83 @@
 }
 
 std::vector<crash_attribution::crash_event> crash_attribution::Events() const {
-  std::vector<std::pair<time_point, crash_id>> sightings;
+  // A request that is retried dates its later crashes too early.
+  std::map<crash_id, time_point> times;
   for (const auto& [part, known] : records_) {
     for (const auto& [crash, seen] : known.crashes) {
-      sightings.emplace_back(seen.at, crash);
+      time_point& at = times.try_emplace(crash, seen.at).first->second;
+      at = std::max(at, seen.at);
     }
   }
+  std::vector<std::pair<time_point, crash_id>> sightings;
+  sightings.reserve(times.size());
+  for (const auto& [crash, at] : times) {
+    sightings.emplace_back(at, crash);
+  }
   std::sort(sightings.begin(), sightings.end());
-  std::set<crash_id> listed;  // a crash counts at its earliest sighting
   std::vector<crash_event> events;
-  time_point begin;
   for (const auto& [at, crash] : sightings) {
-    if (!listed.insert(crash).second) {
-      continue;
-    }
-    if (events.empty() || at - begin > kEventLength) {
-      events.emplace_back();
-      begin = at;
+    if (events.empty() || at - events.back().begin > kEventLength) {
+      events.push_back({at, {}});
     }
-    events.back().insert(crash);
+    events.back().crashes.insert(crash);
+    ++events.back().unexplained;
   }
   return events;
 }
 
-std::size_t crash_attribution::CountEvents(
+crash_attribution::event_count crash_attribution::CountEvents(
     const std::vector<crash_event>& events,
-    const std::set<crash_id>& crashes,
-    const std::set<crash_id>& explained) {
-  std::size_t counted = 0;
-  std::size_t touched = 0;  // events with any of the crashes
-  for (const crash_event& event : events) {
-    std::size_t present = 0;
+    const std::map<crash_id, std::size_t>& event_of,
+    const std::map<crash_id, known_crash>& sightings,
+    const std::set<crash_id>& crashes) {
+  std::vector<std::pair<time_point, std::size_t>> own;  // with their events
+  std::map<std::size_t, std::size_t> present;           // crashes by event
+  for (const crash_id crash : crashes) {
+    const std::size_t event = event_of.at(crash);
+    own.emplace_back(sightings.at(crash).at, event);
+    ++present[event];
+  }
+  std::sort(own.begin(), own.end());
+  const auto is_certain = [](std::size_t part, std::size_t all) {
+    return part >= kMinCrashesOfCertainEvent ||
+           static_cast<double>(part) >=
+               kMinShareOfCertainEvent * static_cast<double>(all);
+  };
+  event_count count;
+  std::size_t certain = 0;
+  // The crashes that one request meets have the same time here.
+  for (auto item = own.begin(); item != own.end();) {
+    const time_point first = item->first;
+    std::size_t part = 0;
     std::size_t all = 0;
-    for (const crash_id crash : event) {
-      present += crashes.contains(crash) ? 1 : 0;
-      all += explained.contains(crash) ? 0 : 1;
-    }
-    touched += present > 0 ? 1 : 0;
-    if (present > 0 && static_cast<double>(present) >=
-                           kMinShareOfEvent * static_cast<double>(all)) {
-      ++counted;
+    for (; item != own.end() && item->first - first <= kEventLength; ++item) {
+      part += present.at(item->second);
+      all += events[item->second].unexplained;
     }
+    count.counted +=
+        static_cast<double>(part) >= kMinShareOfEvent * static_cast<double>(all)
+            ? 1
+            : 0;
+    certain += is_certain(part, all) ? 1 : 0;
   }
-  if (touched >= kCertainEvents) {
-    return touched;
+  if (certain >= kCertainEvents) {
+    count.counted = certain;
   }
-  return counted;
+  const time_point begin = events[present.begin()->first].begin;
+  const time_point end = events[present.rbegin()->first].begin;
+  for (std::size_t i = 0; i < events.size(); ++i) {
+    const crash_event& event = events[i];
+    const auto found = present.find(i);
+    if (event.unexplained == 0 || event.begin < begin - kMissWindowBefore ||
+        event.begin > end + kMissWindowAfter ||
+        (found != present.end() &&
+         is_certain(found->second, event.unexplained))) {
+      continue;
+    }
+    ++(event.begin < begin ? count.missed_before : count.missed);
+  }
+  return count;
 }
 
 std::set<crash_id> crash_attribution::UnclearedCrashes(const record& known) {
@@ -357,7 +411,13 @@
   if (std::none_of(unexplained.begin(), unexplained.end(), may_block)) {
     return;
   }
-  const std::vector<crash_event> events = Events();
+  std::vector<crash_event> events = Events();
+  std::map<crash_id, std::size_t> event_of;
+  for (std::size_t i = 0; i < events.size(); ++i) {
+    for (const crash_id crash : events[i].crashes) {
+      event_of[crash] = i;
+    }
+  }
   std::set<crash_id> explained;
   // Events, and whether the part has never been answered.
   using suspicion = std::pair<std::size_t, bool>;
@@ -365,13 +425,15 @@
     suspicion highest{0, false};
     std::vector<prompt_part> causes;
     for (const auto& [part, crashes] : unexplained) {
-      if (crashes.size() < kBlockingEvents) {
+      if (crashes.size() <
+          RequiredEvents(!records_.at(part).begun_before, 0, 0)) {
         continue;
       }
-      const suspicion own{CountEvents(events, crashes, explained),
-                          !records_.at(part).begun_before};
+      const event_count count =
+          CountEvents(events, event_of, records_.at(part).crashes, crashes);
+      const suspicion own{count.counted, !records_.at(part).begun_before};
       if (own.first <
-              (own.second ? kBlockingEvents : kBlockingEventsIfBegunBefore) ||
+              RequiredEvents(own.second, count.missed, count.missed_before) ||
           own < highest) {
         continue;
       }
@@ -391,6 +453,11 @@
       blocked_.insert(cause);
       explained.merge(unexplained.at(cause));
     }
+    for (crash_event& event : events) {
+      event.unexplained = static_cast<std::size_t>(std::count_if(
+          event.crashes.begin(), event.crashes.end(),
+          [&explained](crash_id crash) { return !explained.contains(crash); }));
+    }
     for (auto& [part, crashes] : unexplained) {
       std::erase_if(crashes, [&explained](crash_id crash) {
         return explained.contains(crash);
--- a/tests/retry/crash_replay_test.cc
+++ b/tests/retry/crash_replay_test.cc
@@ -15,6 +15,24 @@
 namespace fireflyslip {
 namespace {
 
+/// \brief Load that differs from the usual one.
+struct replay_load {
+  /// Whether most requests share their first part with others.
+  bool shared_first_parts = false;
+  /// Whether all requests share one more part.
+  bool common_part = false;
+  /// Bounds of the time until a request begins its response.
+  milliseconds shortest_wait{50};
+  milliseconds longest_wait{350};
+  /// Whether a caller sends an interrupted request again, up to three times.
+  bool caller_retries = false;
+  /// Fraction of the attempts whose connection ends without a crash.
+  double resets = 0;
+  /// Time after which one gateway is restarted, without its memory; never if
+  /// zero.
+  duration restart_interval{};
+};
+
 /// \brief Gateways in front of upstreams, in steps of 10 ms. Some requests hold
 /// a part that crashes the upstream which begins to respond. Gateways exchange
 /// evidence every 0.1 s, and a tenth of these messages is lost.
@@ -23,16 +41,28 @@
   static constexpr prompt_part kCrashing = 1'000'000;
   static constexpr milliseconds kStep{10};
 
-  /// \param shared_first_parts whether most requests share their first part
-  /// with others.
+  /// A part of all requests, if the load has one.
+  static constexpr prompt_part kCommon = 999'999;
+
   crash_replay(std::size_t gateways,
                std::size_t upstreams,
                std::uint64_t seed,
-               bool shared_first_parts = false)
+               const replay_load& load)
       : random_(seed),
         gateways_(gateways),
         upstreams_(upstreams),
-        shared_first_parts_(shared_first_parts) {}
+        load_(load) {}
+
+  /// \param shared_first_parts whether most requests share their first part
+  /// with others.
+  crash_replay(std::size_t gateways,
+               std::size_t upstreams,
+               std::uint64_t seed,
+               bool shared_first_parts = false)
+      : crash_replay(gateways,
+                     upstreams,
+                     seed,
+                     replay_load{.shared_first_parts = shared_first_parts}) {}
 
   /// \brief Lets upstreams crash for a reason that is in no request.
   /// \param share fraction of the upstreams.
@@ -54,14 +84,19 @@
     for (const time_point end = now_ + length; now_ < end; now_ += kStep) {
       for (double n = requests_per_step; random_.Fraction() < n; n -= 1) {
         request added{{random_.Below(60), random_.Below(200) + 100}, 0};
-        if (shared_first_parts_) {
+        if (load_.shared_first_parts) {
           added.parts.insert(added.parts.begin(), FirstPart());
         }
+        if (load_.common_part) {
+          added.parts.insert(added.parts.begin(), kCommon);
+        }
         if (random_.Fraction() < crashing) {
           added.parts.push_back(kCrashing);
         }
         Send(random_.Below(gateways_.size()), std::move(added));
       }
+      SendAgain();
+      RestartGateway();
       while (!scheduled_.empty() && scheduled_.begin()->first <= now_) {
         const std::size_t upstream = scheduled_.begin()->second;
         scheduled_.erase(scheduled_.begin());
@@ -85,12 +120,19 @@
   /// the fifth crash.
   std::size_t sent_after_notice() const { return sent_after_notice_; }
   std::size_t sound_refused() const { return sound_refused_; }
+  /// \brief Longest time for which a gateway has blocked a sound part.
+  duration longest_wrong_block() const { return longest_wrong_block_; }
+  /// \brief Crashes until the first gateway blocked the crashing part.
+  std::optional<std::size_t> crashes_until_block() const {
+    return crashes_until_block_;
+  }
   std::size_t sound_begun() const { return sound_begun_; }
 
  private:
   struct request {
     std::vector<prompt_part> parts;
     int tried = 0;
+    int sent_by_caller = 1;
 
     bool crashing() const { return parts.back() == kCrashing; }
   };
@@ -99,6 +141,7 @@
     std::size_t upstream = 0;
     request content;
     time_point begins_at;
+    bool reset = false;
   };
   struct upstream_state {
     crash_id incarnation = 0;
@@ -128,6 +171,7 @@
       }
     }
     if (up.empty()) {
+      Fail(std::move(content));
       return;
     }
     if (content.crashing() && fifth_crash_ &&
@@ -138,8 +182,44 @@
     const std::size_t upstream = up[random_.Below(up.size())];
     const std::uint64_t id = ++next_id_;
     core.AttemptStarted(id, Incarnation(upstream), content.parts);
-    attempts_[id] = {gateway, upstream, std::move(content),
-                     now_ + milliseconds(50 + random_.Below(300))};
+    const auto range = static_cast<std::uint64_t>(
+        (load_.longest_wait - load_.shortest_wait).count());
+    const duration wait =
+        load_.shortest_wait + milliseconds(random_.Below(range));
+    attempts_[id] = {gateway, upstream, std::move(content), now_ + wait,
+                     load_.resets > 0 && random_.Fraction() < load_.resets};
+  }
+
+  /// \brief The caller may send the request again, to any gateway.
+  void Fail(request content) {
+    constexpr int kMaxSends = 3;
+    if (load_.caller_retries && content.sent_by_caller < kMaxSends) {
+      ++content.sent_by_caller;
+      content.tried = 0;
+      const duration delay = milliseconds(50 + random_.Below(450));
+      sent_again_.emplace(now_ + delay, std::move(content));
+    }
+  }
+
+  void SendAgain() {
+    while (!sent_again_.empty() && sent_again_.begin()->first <= now_) {
+      request content = std::move(sent_again_.begin()->second);
+      sent_again_.erase(sent_again_.begin());
+      Send(random_.Below(gateways_.size()), std::move(content));
+    }
+  }
+
+  /// \brief Restarts one gateway after the other. Its requests are lost.
+  void RestartGateway() {
+    if (load_.restart_interval == duration(0) ||
+        now_.time_since_epoch() % load_.restart_interval != duration(0)) {
+      return;
+    }
+    const std::size_t restarted = random_.Below(gateways_.size());
+    gateways_[restarted] = crash_attribution();
+    std::erase_if(attempts_, [restarted](const auto& item) {
+      return item.second.gateway == restarted;
+    });
   }
 
   void Advance() {
@@ -159,6 +239,13 @@
         continue;
       }
       crash_attribution& core = gateways_[found->second.gateway];
+      if (found->second.reset) {
+        attempt ended = std::move(found->second);
+        attempts_.erase(found);
+        core.AttemptEnded(id, true, now_);
+        Fail(std::move(ended.content));
+        continue;
+      }
       core.AttemptBegun(id, now_);
       core.AttemptEnded(id, false, now_);
       ++sound_begun_;
@@ -190,15 +277,33 @@
     for (attempt& ended : interrupted) {
       if (ended.content.tried < kMaxAttempts) {
         Send(ended.gateway, std::move(ended.content));
+      } else {
+        Fail(std::move(ended.content));
       }
     }
   }
 
-  void Exchange() {
-    for (const crash_attribution& core : gateways_) {
-      wrongly_blocked_.insert(core.blocked().begin(), core.blocked().end());
+  void ObserveBlocks() {
+    for (std::size_t i = 0; i < gateways_.size(); ++i) {
+      const std::set<prompt_part>& blocked = gateways_[i].blocked();
+      std::erase_if(blocked_since_, [&](const auto& item) {
+        return item.first.first == i && !blocked.contains(item.first.second);
+      });
+      for (const prompt_part part : blocked) {
+        if (part == kCrashing) {
+          crashes_until_block_ = crashes_until_block_.value_or(crashes_);
+          continue;
+        }
+        wrongly_blocked_.insert(part);
+        const time_point since =
+            blocked_since_.try_emplace({i, part}, now_).first->second;
+        longest_wrong_block_ = std::max(longest_wrong_block_, now_ - since);
+      }
     }
-    wrongly_blocked_.erase(kCrashing);
+  }
+
+  void Exchange() {
+    ObserveBlocks();
     std::vector<std::vector<crash_evidence>> messages;
     for (const crash_attribution& core : gateways_) {
       messages.push_back(core.ChangedSince(now_ - seconds(3), now_));
@@ -215,7 +320,7 @@
   random_source random_;
   std::vector<crash_attribution> gateways_;
   std::vector<upstream_state> upstreams_;
-  const bool shared_first_parts_;
+  const replay_load load_;
   std::map<std::uint64_t, attempt> attempts_;
   std::uint64_t next_id_ = 0;
   time_point now_ = time_point(seconds(100));
@@ -225,6 +330,10 @@
   std::size_t sound_refused_ = 0;
   std::size_t sound_begun_ = 0;
   std::multimap<time_point, std::size_t> scheduled_;  // crashes
+  std::multimap<time_point, request> sent_again_;
+  std::map<std::pair<std::size_t, prompt_part>, time_point> blocked_since_;
+  duration longest_wrong_block_{};
+  std::optional<std::size_t> crashes_until_block_;
   std::set<prompt_part> wrongly_blocked_;
 };
 
@@ -257,6 +366,62 @@
   }
 }
 
+// The load of CrashesWithoutCause_LongPrompts_FewRefused when all upstreams
+// crash in turn, so that no request with a rare part is answered for some time.
+TEST_F(crash_replay_outage_test, LongPrompts_AllInTurn_FewRefused) {
+  const replay_load load{.shared_first_parts = true,
+                         .common_part = true,
+                         .shortest_wait = milliseconds(300),
+                         .longest_wait = milliseconds(3000),
+                         .caller_retries = true,
+                         .resets = 0.02};
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    SCOPED_TRACE(seed);
+    crash_replay replay(6, 9, seed, load);
+    replay.Run(seconds(3), 0.46, 0);
+    for (int i = 0; i < 4; ++i) {
+      replay.ScheduleCrashes(seconds(6 * i), 1.0, milliseconds(300));
+    }
+    replay.Run(seconds(28), 0.46, 0);
+    EXPECT_LE(replay.sound_refused() * 500,
+              replay.sound_refused() + replay.sound_begun());
+  }
+}
+
+// Guards against refusing sound requests that wait for seconds before their
+// first event, and are sent again by their callers, when upstreams crash for
+// another reason (1 in 500 is the users' limit).
+TEST_P(crash_replay_test, CrashesWithoutCause_LongPrompts_FewRefused) {
+  struct load_pattern {
+    std::size_t upstreams;
+    double share;
+    int interval_ms;
+    double requests_per_step;
+  };
+  const replay_load load{.shared_first_parts = true,
+                         .common_part = true,
+                         .shortest_wait = milliseconds(300),
+                         .longest_wait = milliseconds(3000),
+                         .caller_retries = true,
+                         .resets = 0.02};
+  std::size_t refused = 0;
+  std::size_t begun = 0;
+  for (const load_pattern& pattern : std::vector<load_pattern>{
+           {9, 0.1, 1200, 0.46}, {9, 0.2, 2000, 0.46}, {16, 0.12, 2000, 0.8}}) {
+    crash_replay replay(6, pattern.upstreams, GetParam(), load);
+    replay.Run(seconds(3), pattern.requests_per_step, 0);
+    for (int i = 0; i < 13; ++i) {
+      replay.ScheduleCrashes(milliseconds(pattern.interval_ms) * i,
+                             pattern.share, duration(0));
+    }
+    replay.Run(seconds(28), pattern.requests_per_step, 0);
+    refused += replay.sound_refused();
+    begun += replay.sound_begun();
+    EXPECT_LE(replay.longest_wrong_block(), seconds(5));
+  }
+  EXPECT_LE(refused * 500, refused + begun);
+}
+
 // Guards against a part of prompts that crashes upstream after upstream, and
 // against refusing sound requests with the other parts of such prompts.
 TEST_P(crash_replay_test, CrashingPart_AtAnyGateway_BlockedForAllAndOnlyIt) {
