Do not forward an unsigned error of an upstream

Callers take a 4xx without the signature of an upstream for one of this system and give up a request that may be sound. A faulty upstream can send one, for example a 400 to bytes that it read out of step. A success without a signature was a failure with unknown outcome before; errors below 500 now are, too: 502 for a booking, another try for a request that may be repeated.

Request_UnsignedClientError_NotForwarded failed before (the status was forwarded). RequestWithoutId_AfterOthers_ResponseBelieved is about responses without an id; its 400 is signed now.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -14,7 +14,6 @@
 using boost::asio::awaitable;
 
 constexpr int kStatusOk = 200;
-constexpr int kFirstClientError = 400;
 constexpr int kFirstServerError = 500;
 /// Used if neither the client nor the route sets a timeout.
 constexpr seconds kDefaultRequestTimeout{60};
@@ -585,16 +584,16 @@
   report.status = attempt_status::kFailed;
   const platform::response_metadata metadata =
       platform::DecodeResponseMetadata(response);
-  const bool success = response.status < kFirstClientError;
-  if (success && !metadata.has_signature) {
-    report.detail = "response without a signature";
-    return report;
-  }
   if (platform::IsRefusalStatus(response.status)) {
     report.detail = "status " + std::to_string(response.status) +
                     " without the statement that the request was not run";
     return report;
   }
+  // Without a signature, a client takes the error for one of this system.
+  if (response.status < kFirstServerError && !metadata.has_signature) {
+    report.detail = "response without a signature";
+    return report;
+  }
   if (response.status >= kFirstServerError || stream_started_) {
     report.outcome = attempt_outcome::kRanAndFailed;
     report.detail = "status " + std::to_string(response.status);
