--- a/tests/gateway/faulty_upstream_test.cc
+++ b/tests/gateway/faulty_upstream_test.cc
@@ -281,6 +281,23 @@
   }
 }
 
+// Guards against a booking that runs twice: the refusal under the former id is
+// repeated while the booking runs under the new one, and the booking is sent to
+// another upstream.
+TEST_F(faulty_upstream_test, Booking_RefusalRepeatedWhileItRuns_NotRunTwice) {
+  Configure();
+  repeating_upstream server{RunAsNewUpstream};
+  AddRepeatingUpstream(server, {"i-new", "i-old"});
+  const upstream& other = AddUpstream(Echo());
+  for (int i = 0; i < 40; ++i) {
+    AllowRetries();
+    EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id" + std::to_string(i))),
+              200);
+  }
+  EXPECT_EQ(server.run.size() + other.received.size(), 40U);
+  EXPECT_GT(server.refused, 0U);
+}
+
 // Guards against "not run" for a request that runs: the client sends it again
 // after a refusal, and the copy of that refusal is taken for the response.
 TEST_F(faulty_upstream_test, Booking_SentAgainAfterRefusal_CopyNotBelieved) {
