Log what a request waited for, its time-outs and its content

The line of a request now has what it waited for last, how long its response took to write, the time-outs it had, how late the deadline timer fired, and a fingerprint of its content. The event loop logs delays of 250 ms or more and counts all of them; reads of the list of upstreams and applied configurations have their duration.

No decision changes.

--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -117,6 +117,7 @@
   std::vector<std::string> relays;
   read_backoff backoff;
   for (int i = 0; i < kMaxRelaySearches && relays.empty(); ++i) {
+    const time_point sent = MonotonicNow();
     const auto listed = co_await store_.List(kind, true, backoff.timeout());
     upstream_map upstreams;
     if (!IsOk(listed)) {
@@ -133,6 +134,10 @@
       }
     }
     relays = SelectRelays(upstreams, data_centre_);
+    LogLine(
+        "event=relays_searched upstreams=" + std::to_string(upstreams.size()) +
+        " relays=" + std::to_string(relays.size()) +
+        " took_ms=" + std::to_string((MonotonicNow() - sent).count() / 1000));
     if (relays.empty()) {
       co_await Sleep(FromSeconds(ToSeconds(kRelaySearchInterval) *
                                  (1 + random_.Fraction()) / 2));
@@ -439,6 +444,7 @@
 
 void catalog_feed::ApplyConfiguration(const nlohmann::json& content,
                                       std::string text) {
+  const time_point begun = MonotonicNow();
   result<deployment> decoded = platform::DecodeDeployment(content);
   if (!IsOk(decoded)) {
     LogLine("event=configuration_rejected reason=\"" + ErrorOf(decoded).detail +
@@ -455,7 +461,8 @@
   LogLine("event=configuration_applied version=" +
           std::to_string(deployment_->version) +
           " routes=" + std::to_string(deployment_->routes.size()) +
-          " keys=" + std::to_string(deployment_->keys.size()));
+          " keys=" + std::to_string(deployment_->keys.size()) + " took_ms=" +
+          std::to_string((MonotonicNow() - begun).count() / 1000));
   handlers_.on_deployment(deployment_);
   ConfirmAnnounced();
 }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "fireflyslip/core/hash.h"
 #include "fireflyslip/runtime.h"
 #include "gateway/gateway.h"
 
@@ -289,6 +290,7 @@
       [weak = weak_from_this()](const boost::system::error_code& code) {
         const auto shared_this = weak.lock();
         if (!code && shared_this) {
+          shared_this->deadline_delay_ = -shared_this->RemainingTime();
           shared_this->Cancel(shared_this->limited_by_stop_
                                   ? cancel_cause::kGatewayStopping
                                   : cancel_cause::kDeadlinePassed);
@@ -346,6 +348,7 @@
   submission.excluded = excluded_upstreams_;
   submission.version = stream_started_ ? stream_version_ : std::nullopt;
   gateway_.Submit(std::move(submission));
+  waits_for_ = "placement";
   while (!placement_ && !rejection_ && cancel_cause_ == cancel_cause::kNone) {
     boost::system::error_code ignored;
     placement_event_.expires_at(boost::asio::steady_timer::time_point::max());
@@ -418,6 +421,7 @@
                             : repeatable ? duration(kRepeatableMaxIdle)
                                          : duration(kNonIdempotentMaxIdle);
   canceller_ = std::make_shared<call_canceller>();
+  waits_for_ = "response";
   http_request message = MakeUpstreamRequest();
   const auto opened = co_await gateway_.upstream_client().Open(
       *endpoint, std::move(message), read_timeout, max_idle, canceller_,
@@ -562,6 +566,7 @@
   outcome_ = "answered";
   report.delivered = true;
   response_sent_ = true;
+  MarkWriting();
   co_await client_.Send(std::move(response));
   co_return report;
 }
@@ -657,6 +662,7 @@
   report.delivered = true;
   outcome_ = "answered";
   response_sent_ = true;
+  MarkWriting();
   co_await client_.End();
   co_return report;
 }
@@ -690,6 +696,7 @@
 awaitable<void> exchange::SendFailure(retry_decision decision,
                                       const attempt_report& report) {
   response_sent_ = true;
+  MarkWriting();
   if (stream_started_) {
     // Without the final chunk, the client detects the truncated body.
     client_.Abort();
@@ -739,9 +746,17 @@
   status_ = response.status;
   outcome_ = std::string(known.name);
   response_sent_ = true;
+  MarkWriting();
   co_await client_.Send(std::move(response));
 }
 
+void exchange::MarkWriting() {
+  if (!deadline_delay_) {
+    waits_for_ = "write";
+  }
+  write_started_at_ = MonotonicNow();
+}
+
 awaitable<void> exchange::SendCancellation() {
   if (cancel_cause_ == cancel_cause::kClientDisconnected) {
     outcome_ = "client_left";
@@ -867,6 +882,17 @@
   return std::max(1.0, prompt + output);
 }
 
+request_fingerprint exchange::ContentFingerprint() const {
+  request_fingerprint hash = StableHash(request_.method);
+  for (const std::string_view item :
+       {HostOf(request_), std::string_view(request_.target),
+        std::string_view(workspace_.value()),
+        std::string_view(*request_.shared_body)}) {
+    hash = StableHash(item, hash);
+  }
+  return hash;
+}
+
 void exchange::RecordFailedTry(const attempt_report& report) {
   failed_tries_ += failed_tries_.empty() ? "" : ",";
   failed_tries_ += upstream_ + "/" + std::string(ToString(report.outcome));
@@ -899,6 +925,15 @@
   line += " placed_ms=" + Milliseconds(placement_delay_);
   line += " answered_ms=" + Milliseconds(response_delay_);
   line += " total_ms=" + Milliseconds(total);
+  line += " waits_for=" + std::string(waits_for_);
+  line += " write_ms=";
+  line += write_started_at_ ? Milliseconds(MonotonicNow() - *write_started_at_)
+                            : "-";
+  line += " timeout_ms=" + Milliseconds(timeout_);
+  line += " route_timeout_ms=";
+  line += route_ == nullptr ? "-" : Milliseconds(route_->timeout);
+  line += " deadline_delay_ms=" + Milliseconds(deadline_delay_);
+  line += " content=" + std::to_string(ContentFingerprint());
   line += " events=" + std::to_string(cursor_.forwarded_events());
   line +=
       " configuration=" + (catalog_ ? std::to_string(catalog_->version) : "-");
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -7,10 +7,12 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "fireflyslip/catalog.h"
 #include "fireflyslip/http.h"
 #include "fireflyslip/placement.h"
+#include "fireflyslip/retry.h"
 #include "gateway/stream_cursor.h"
 #include "platform/call_codec.h"
 
@@ -119,6 +121,10 @@
   /// \brief Usual time until the response is complete; empty if unknown.
   std::optional<duration> ExpectedDuration() const;
   double EstimatedCost() const;
+  /// \brief Hash of what is the same when a caller sends the request again.
+  request_fingerprint ContentFingerprint() const;
+  /// \brief Notes for the log that the end of a response is being written.
+  void MarkWriting();
   /// \brief Adds a try without a delivered response to the log line.
   void RecordFailedTry(const attempt_report& report);
   void LogOutcome();
@@ -155,6 +161,9 @@
   std::optional<std::uint64_t> stream_version_;
 
   // Fields of the log line.
+  std::string_view waits_for_ = "route";    // until the response is written
+  std::optional<duration> deadline_delay_;  // of the timer, if it has expired
+  std::optional<time_point> write_started_at_;  // of the last response
   int status_ = 0;
   std::string outcome_;
   std::string upstream_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -29,6 +29,8 @@
 /// Interval of events without which the dispatcher assumes a pause.
 constexpr duration kObservationInterval =
     version_targets::kMaxObservationGap / 2;
+/// Delay of the event loop from which it is logged.
+constexpr milliseconds kLoggedLoopDelay{250};
 /// Fraction of the revocation timeout after which keys are stale; the rest
 /// allows for the clock resolution.
 constexpr double kKeyLifetimeFraction = 0.96;
@@ -331,6 +333,17 @@
 }
 
 void gateway::Observe() {
+  const time_point now = MonotonicNow();
+  const duration late =
+      observed_at_ ? now - *observed_at_ - kObservationInterval : duration(0);
+  observed_at_ = now;
+  counters_.ObserveSeconds("event_loop_delay_seconds", {}, ToSeconds(late));
+  if (late >= kLoggedLoopDelay) {
+    LogLine("event=event_loop_delayed delay_ms=" +
+            std::to_string(late / milliseconds(1)) +
+            " requests=" + std::to_string(exchanges_.size()) +
+            " waiting=" + std::to_string(dispatcher_.core().waiting()));
+  }
   Handle(tick{});
   const bool outage = dispatcher_.core().IsPlatformOutage(MonotonicNow());
   if (outage != platform_outage_) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -112,7 +112,8 @@
   std::optional<time_point> keys_current_as_of_;
   std::optional<time_point> answer_by_;
   dispatch_id next_dispatch_ = 1;
-  bool platform_outage_ = false;  // already logged
+  bool platform_outage_ = false;           // already logged
+  std::optional<time_point> observed_at_;  // last
 };
 
 }  // namespace fireflyslip
