--- a/tests/process/http_standin.cc
+++ b/tests/process/http_standin.cc
@@ -59,6 +59,7 @@
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.set_option(
       boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes));
+  acceptor_.set_option(boost::asio::socket_base::reuse_address(port != 0));
   acceptor_.bind(tcp::endpoint(boost::asio::ip::address_v4::loopback(), port));
   acceptor_.listen();
   port_ = acceptor_.local_endpoint().port();
