Block requests that crash replicas by their content

Cause: crashes were attributed to parts of prompts only, and noticed only by the agent beside a replica, which plain services do not have. Class: work that destroys what runs it, seen as unrelated failures of upstreams.

crash_attribution now counts crashes against a fingerprint of host, path, caller and body, too, with a policy of its own. A gateway probes an upstream after an interrupted or silent attempt, and takes the removal from the list of upstreams as a sign. Evidence of one crash goes to one stager of each data centre, that of several to all, eight at a time. A gateway sends a suspect to one upstream only.

--- a/include/fireflyslip/retry/crash_attribution.h
+++ b/include/fireflyslip/retry/crash_attribution.h
@@ -13,7 +13,8 @@
 
 namespace fireflyslip {
 
-/// \brief Hash of the id of a part of a prompt that requests may share.
+/// \brief Hash of the id of a part of a prompt that requests may share, or of
+/// the content of a whole request.
 using prompt_part = std::uint64_t;
 
 /// \brief Identifies one crash: a hash of the upstream and its incarnation.
@@ -44,6 +45,45 @@
   bool operator==(const crash_evidence&) const = default;
 };
 
+/// \brief Whether a part was at two crashes that are no single event.
+bool IsRepeated(const crash_evidence& evidence);
+
+/// \brief The items with the most crashes, and the newest of these.
+std::vector<crash_evidence> Strongest(std::vector<crash_evidence> evidence,
+                                      std::size_t count);
+
+/// \brief How an attempt ended, as far as it tells of a crash.
+enum class attempt_end {
+  kResponse,     ///< The upstream responded, or the attempt was given up.
+  kInterrupted,  ///< The upstream closed the connection.
+  kSilent,       ///< No response came in time.
+};
+
+/// \brief Evidence that is needed to block a part.
+struct crash_policy {
+  /// Events without a request that began since, for a part that has never been
+  /// answered, which is more likely to be the cause, and for others.
+  std::size_t blocking_events = 2;
+  std::size_t blocking_events_if_begun_before = 3;
+  /// Upper bound where upstreams also crash for other reasons.
+  std::size_t max_blocking_events = 8;
+  /// Events from which several equally suspected parts are blocked together.
+  std::size_t ambiguous_blocking_events = 3;
+  /// Time for which evidence is kept after its last change.
+  duration lifetime = std::chrono::minutes(2);
+  /// Maximum number of parts with evidence.
+  std::size_t max_parts = 256;
+  /// Longest time between the end of an attempt at a crashed upstream and the
+  /// report of the crash, in either order.
+  duration report_delay = milliseconds(1500);
+
+  auto operator<=>(const crash_policy&) const = default;
+};
+
+/// \brief Policy for whole requests. Each has a content of its own, so more
+/// crashes are needed to tell it from what runs beside it.
+crash_policy RequestCrashPolicy();
+
 /// \brief Attributes crashes of upstreams to parts of the prompts that were
 /// about to be answered there, and blocks requests with such a part.
 ///
@@ -64,10 +104,7 @@
 /// only its own requests.
 class crash_attribution {
  public:
-  /// \param lifetime time for which evidence is kept after its last change.
-  /// \param bound maximum number of parts with evidence.
-  explicit crash_attribution(duration lifetime = std::chrono::minutes(2),
-                             std::size_t bound = 256);
+  explicit crash_attribution(crash_policy policy = {});
 
   // Requests of this gateway. An attempt is identified by its request.
   void AttemptStarted(std::uint64_t request,
@@ -75,9 +112,9 @@
                       std::vector<prompt_part> parts);
   /// \brief The first part of the response has arrived.
   void AttemptBegun(std::uint64_t request, time_point now);
-  /// \param interrupted the upstream closed the connection.
-  void AttemptEnded(std::uint64_t request, bool interrupted, time_point now);
-  /// \brief The upstream has stopped responding to the agent on its own VM.
+  void AttemptEnded(std::uint64_t request, attempt_end end, time_point now);
+  /// \brief The upstream has stopped responding to the agent on its own VM, or
+  /// is otherwise known to have ended.
   void UpstreamLost(crash_id incarnation, time_point now);
 
   /// \brief Adds evidence of another gateway; returns whether it was new.
@@ -92,6 +129,8 @@
                                            time_point now) const;
 
   bool IsBlocked(const std::vector<prompt_part>& parts) const;
+  /// \brief Whether the part was at a crash and has not begun since.
+  bool IsSuspect(prompt_part part) const;
 
   /// \brief Crash that counts against a part, for the log.
   struct counted_crash {
@@ -118,6 +157,7 @@
     crash_id incarnation = 0;
     std::vector<prompt_part> parts;
     time_point at;
+    attempt_end end = attempt_end::kInterrupted;
   };
   struct known_crash {
     bool cleared = false;
@@ -156,25 +196,29 @@
       const std::map<crash_id, known_crash>& sightings,
       const std::set<crash_id>& crashes);
   static std::set<crash_id> UnclearedCrashes(const record& known);
+  /// \brief Number of events that block a part.
+  /// \param missed events after its first one at which the part was not.
+  /// \param missed_before events before its first one.
+  std::size_t RequiredEvents(bool never_begun,
+                             std::size_t missed,
+                             std::size_t missed_before) const;
   /// \brief Record of a part; null if there is no capacity.
   record* FindOrAdd(prompt_part part);
-  bool HasBegun(prompt_part part) const {
-    return begun_.contains(part) || begun_earlier_.contains(part);
-  }
+  /// \brief Latest time at which a request with the part began here.
+  std::optional<time_point> BegunAt(prompt_part part) const;
   void UpdateBlocked();
 
-  duration lifetime_;
-  std::size_t bound_;
+  crash_policy policy_;
   std::map<std::uint64_t, attempt> attempts_;     // by request
   std::vector<interrupted_attempt> interrupted_;  // in order of time
   // Time of the first crash that each interrupted request met.
   std::map<std::uint64_t, time_point> suspected_requests_;
   std::map<crash_id, time_point> lost_;
   std::map<prompt_part, record> records_;
-  // Parts of requests that have begun here. The older half of them is dropped
-  // when there are too many.
-  std::set<prompt_part> begun_;
-  std::set<prompt_part> begun_earlier_;
+  // Parts of requests that have begun here, and when they did last. The older
+  // half of them is dropped when there are too many.
+  std::map<prompt_part, time_point> begun_;
+  std::map<prompt_part, time_point> begun_earlier_;
   std::set<prompt_part> blocked_;
 };
 
--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -9,6 +9,10 @@
 
 namespace {
 
+/// Single crashes of requests that are sent at once: a crash interrupts all
+/// requests of an upstream.
+constexpr std::size_t kMaxSingleRequests = 32;
+
 /// Crashes that count against a part, as `EVENT:CRASH@AGE_MS`, without spaces.
 std::string CrashList(
     const std::vector<crash_attribution::counted_crash>& crashes) {
@@ -25,9 +29,11 @@
 
 void crash_monitor::AttemptStarted(std::uint64_t request,
                                    const upstream_entry& upstream,
-                                   std::vector<prompt_part> parts) {
-  attribution_.AttemptStarted(
-      request, CrashOf(upstream.id, upstream.started_ms), std::move(parts));
+                                   std::vector<prompt_part> parts,
+                                   request_fingerprint content) {
+  const crash_id incarnation = CrashOf(upstream.id, upstream.started_ms);
+  attribution_.AttemptStarted(request, incarnation, std::move(parts));
+  requests_.AttemptStarted(request, incarnation, {content});
 }
 
 void crash_monitor::AttemptBegun(std::uint64_t request, time_point now) {
@@ -35,11 +41,21 @@
   LogBlocked(now);
 }
 
+void crash_monitor::AttemptSurvived(std::uint64_t request, time_point now) {
+  requests_.AttemptBegun(request, now);
+  LogBlockedRequests(now);
+}
+
 void crash_monitor::AttemptEnded(std::uint64_t request,
-                                 bool interrupted,
+                                 attempt_end end,
                                  time_point now) {
-  attribution_.AttemptEnded(request, interrupted, now);
+  // The agent beside an engine tells whether it crashed, but not which request
+  // it was about to begin when it fell silent.
+  attribution_.AttemptEnded(
+      request, end == attempt_end::kSilent ? attempt_end::kResponse : end, now);
   LogBlocked(now);
+  requests_.AttemptEnded(request, end, now);
+  LogBlockedRequests(now);
 }
 
 void crash_monitor::OnReachability(const upstream_entry& upstream,
@@ -53,15 +69,57 @@
             " crash=" + std::to_string(crash));
     attribution_.UpstreamLost(crash, now);
     LogBlocked(now);
+    requests_.UpstreamLost(crash, now);
+    LogBlockedRequests(now);
   }
 }
 
+void crash_monitor::OnUpstreamGone(const upstream_entry& upstream,
+                                   std::string_view source,
+                                   time_point now) {
+  const crash_id crash = CrashOf(upstream.id, upstream.started_ms);
+  LogLine("event=upstream_gone source=" + std::string(source) + " upstream=" +
+          upstream.id.value() + " crash=" + std::to_string(crash));
+  requests_.UpstreamLost(crash, now);
+  LogBlockedRequests(now);
+}
+
 void crash_monitor::OnNotice(const crash_notice& notice, time_point now) {
-  if (attribution_.Merge(notice.evidence, now)) {
+  if (notice.whole_requests) {
+    if (requests_.Merge(notice.evidence, now)) {
+      LogBlockedRequests(now);
+    }
+  } else if (attribution_.Merge(notice.evidence, now)) {
     LogBlocked(now);
   }
 }
 
+crash_monitor::request_notices crash_monitor::TakeRequestNotices(
+    time_point now) {
+  requests_.Expire(now);
+  LogBlockedRequests(now);
+  request_notices notices = RequestNoticesSince(requests_taken_at_, now);
+  requests_taken_at_ = now;
+  return notices;
+}
+
+crash_monitor::request_notices crash_monitor::RecentRequestNotices(
+    time_point now) const {
+  return RequestNoticesSince(now - kEvidenceRepeatTime, now);
+}
+
+crash_monitor::request_notices crash_monitor::RequestNoticesSince(
+    time_point since,
+    time_point now) const {
+  request_notices notices;
+  notices.repeated = RepeatedCrashes(requests_, since, now);
+  std::vector<crash_evidence> changed = requests_.ChangedSince(since, now);
+  std::erase_if(changed, IsRepeated);
+  notices.single = {Strongest(std::move(changed), kMaxSingleRequests),
+                    /*whole_requests=*/true};
+  return notices;
+}
+
 crash_notice crash_monitor::TakeNotice(time_point now) {
   attribution_.Expire(now);
   LogBlocked(now);
@@ -74,6 +132,25 @@
   return {attribution_.ChangedSince(now - kEvidenceRepeatTime, now)};
 }
 
+void crash_monitor::LogBlockedRequests(time_point now) {
+  if (requests_.blocked() == logged_requests_) {
+    return;
+  }
+  for (const request_fingerprint content : requests_.blocked()) {
+    if (!logged_requests_.contains(content)) {
+      LogLine("event=request_blocked reason=crashes content=" +
+              std::to_string(content) +
+              " crashes=" + CrashList(requests_.CountedCrashes(content, now)));
+    }
+  }
+  for (const request_fingerprint content : logged_requests_) {
+    if (!requests_.blocked().contains(content)) {
+      LogLine("event=request_unblocked content=" + std::to_string(content));
+    }
+  }
+  logged_requests_ = requests_.blocked();
+}
+
 void crash_monitor::LogBlocked(time_point now) {
   if (attribution_.blocked() == logged_) {
     return;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -39,6 +39,9 @@
 /// upstream in trouble may send bytes without end.
 constexpr std::size_t kMaxResponseBytes = 8UL << 20;
 constexpr std::size_t kMaxEventBytes = 1UL << 20;
+/// A stream that goes on for this time after its first event has not crashed
+/// its upstream.
+constexpr milliseconds kSurvivalTime{500};
 /// Longest idle time of a connection for a non-idempotent request: the upstream
 /// may be about to close an older one, which would leave the outcome unknown.
 constexpr milliseconds kNonIdempotentMaxIdle{800};
@@ -128,6 +131,8 @@
     }
   });
   gateway_.RetryBudget(service_).CountRequest(received_at_);
+  content_ = ContentFingerprint();
+  suspect_ = gateway_.crashes().IsSuspect(content_);
   attempt_report previous;
   for (;;) {
     const bool placed = co_await AwaitPlacement();
@@ -146,12 +151,15 @@
       break;
     }
     gateway_.crashes().AttemptStarted(id_, placement_->upstream,
-                                      metadata_.shared_prompt_parts);
+                                      metadata_.shared_prompt_parts, content_);
     attempt_report report = co_await RunAttempt();
     if (report.outcome != attempt_outcome::kNotSent) {
       retry_taken_at_.reset();
     }
-    gateway_.crashes().AttemptEnded(id_, report.interrupted, MonotonicNow());
+    if (report.end != attempt_end::kResponse) {
+      gateway_.probe().Start(placement_->upstream);
+    }
+    gateway_.crashes().AttemptEnded(id_, report.end, MonotonicNow());
     gateway_.Handle(dispatcher::attempt_completed{id_, report.status});
     if (report.delivered) {
       break;
@@ -162,9 +170,12 @@
       break;
     }
     last_failure_ = report.detail;
-    const retry_decision decision = DecideRetry(
-        *route_, history_, report.outcome,
-        [this] { return RemainingTime() > kMinAttemptTime && TakeRetry(); });
+    // Each try of a request that crashes upstreams costs one more of them.
+    const bool may_crash = suspect_ && report.end == attempt_end::kInterrupted;
+    const retry_decision decision =
+        DecideRetry(*route_, history_, report.outcome, [&] {
+          return !may_crash && RemainingTime() > kMinAttemptTime && TakeRetry();
+        });
     if (decision != retry_decision::kRetryElsewhere) {
       co_await SendFailure(decision, report);
       break;
@@ -300,7 +311,8 @@
 
 bool exchange::IsBlocked() const {
   return !stream_started_ &&
-         gateway_.crashes().IsBlocked(metadata_.shared_prompt_parts);
+         (gateway_.crashes().IsBlocked(content_) ||
+          gateway_.crashes().IsBlocked(metadata_.shared_prompt_parts));
 }
 
 bool exchange::TakeRetry() {
@@ -355,7 +367,7 @@
     co_await placement_event_.async_wait(
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
   }
-  // The part may have been blocked while the request was queued.
+  // It may have been blocked while the request was queued.
   if (placement_ && cancel_cause_ == cancel_cause::kNone && IsBlocked()) {
     gateway_.Handle(
         dispatcher::attempt_completed{id_, attempt_status::kAbandoned});
@@ -554,6 +566,7 @@
   if (auto failed = CheckResponse(response)) {
     Release(*reader, /*delivered=*/false);
     if (failed->outcome == attempt_outcome::kRanAndFailed) {
+      gateway_.crashes().AttemptSurvived(id_, MonotonicNow());
       failed->upstream_response = std::move(response);
     }
     co_return *std::move(failed);
@@ -561,6 +574,7 @@
   Release(*reader, /*delivered=*/true);
   attempt_report report;
   gateway_.crashes().AttemptBegun(id_, MonotonicNow());
+  gateway_.crashes().AttemptSurvived(id_, MonotonicNow());
   response_delay_ = MonotonicNow() - received_at_;
   status_ = response.status;
   outcome_ = "answered";
@@ -615,6 +629,7 @@
   // Only complete events count as progress: a stalled upstream may still send a
   // byte now and then.
   time_point progress_at = MonotonicNow();
+  std::optional<time_point> begun_at;
   bool progressed = false;
   while (!reader->complete()) {
     const time_point started_at = MonotonicNow();
@@ -638,6 +653,10 @@
     }
     gateway_.Handle(dispatcher::response_begun{id_});
     gateway_.crashes().AttemptBegun(id_, MonotonicNow());
+    begun_at = begun_at.value_or(MonotonicNow());
+    if (MonotonicNow() - *begun_at >= kSurvivalTime) {
+      gateway_.crashes().AttemptSurvived(id_, MonotonicNow());
+    }
     const bool written =
         co_await WriteEvents(reader->head(), std::move(events));
     if (!written) {
@@ -658,6 +677,7 @@
     report.detail = "stream ended within an event or before the first one";
     co_return report;
   }
+  gateway_.crashes().AttemptSurvived(id_, MonotonicNow());
   Release(*reader, /*delivered=*/true);
   report.delivered = true;
   outcome_ = "answered";
@@ -719,7 +739,9 @@
 
 awaitable<void> exchange::SendBlocked() {
   const error problem{error_kind::kRequestCrashesUpstream,
-                      "a part of the prompt crashes upstreams"};
+                      gateway_.crashes().IsBlocked(content_)
+                          ? "the request crashes upstreams"
+                          : "a part of the prompt crashes upstreams"};
   co_await SendProblem(problem);
 }
 
@@ -806,6 +828,9 @@
   report.detail = problem.detail;
   if (cancel_cause_ != cancel_cause::kNone) {
     report.status = attempt_status::kAbandoned;
+    report.end = cancel_cause_ == cancel_cause::kDeadlinePassed
+                     ? attempt_end::kSilent
+                     : attempt_end::kResponse;
     return report;
   }
   if (problem.kind == error_kind::kNoUpstream) {
@@ -817,8 +842,9 @@
   report.status =
       timed_out ? attempt_status::kUnreachable : attempt_status::kFailed;
   // An upstream that sends too much has not crashed.
-  report.interrupted =
-      !timed_out && problem.kind != error_kind::kResponseTooLarge;
+  if (problem.kind != error_kind::kResponseTooLarge) {
+    report.end = timed_out ? attempt_end::kSilent : attempt_end::kInterrupted;
+  }
   return report;
 }
 
@@ -933,7 +959,7 @@
   line += " route_timeout_ms=";
   line += route_ == nullptr ? "-" : Milliseconds(route_->timeout);
   line += " deadline_delay_ms=" + Milliseconds(deadline_delay_);
-  line += " content=" + std::to_string(ContentFingerprint());
+  line += " content=" + std::to_string(content_);
   line += " events=" + std::to_string(cursor_.forwarded_events());
   line +=
       " configuration=" + (catalog_ ? std::to_string(catalog_->version) : "-");
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -12,7 +12,7 @@
 #include "fireflyslip/catalog.h"
 #include "fireflyslip/http.h"
 #include "fireflyslip/placement.h"
-#include "fireflyslip/retry.h"
+#include "gateway/crash_monitor.h"
 #include "gateway/stream_cursor.h"
 #include "platform/call_codec.h"
 
@@ -56,8 +56,8 @@
     bool delivered = false;
     attempt_outcome outcome = attempt_outcome::kMayHaveRun;
     attempt_status status = attempt_status::kSucceeded;
-    bool interrupted = false;  // the upstream ended the connection
-    bool refused = false;      // by the addressed upstream, not by another one
+    attempt_end end = attempt_end::kResponse;
+    bool refused = false;  // by the addressed upstream, not by another one
     std::string detail;
     std::optional<http_response> upstream_response;  // with an error status
     int response_status = 0;  // of any response to the request; 0 for none
@@ -71,8 +71,8 @@
   std::optional<error> CheckDraining();
   void Cancel(cancel_cause cause);
   void StartDeadlineTimer();
-  /// \brief Whether a part of the prompt crashes upstreams. A stream that has
-  /// begun is not affected.
+  /// \brief Whether the request or a part of its prompt crashes upstreams. A
+  /// stream that has begun is not affected.
   bool IsBlocked() const;
   /// \brief Takes one retry from the budget of the service.
   bool TakeRetry();
@@ -156,6 +156,8 @@
   std::optional<time_point> retry_taken_at_;  // until the retry is sent
   attempt_history history_;
   std::set<upstream_id> excluded_upstreams_;
+  request_fingerprint content_ = 0;
+  bool suspect_ = false;  // upstreams crashed under the request before
   stream_cursor cursor_;
   bool stream_started_ = false;
   std::optional<std::uint64_t> stream_version_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "fireflyslip/core/rendezvous.h"
 #include "gateway/exchange.h"
 #include "node/load_report.h"
 
@@ -116,13 +117,18 @@
               [this](http_request request, response_writer& writer) {
                 return Serve(std::move(request), writer);
               }),
-      report_socket_(context) {
+      report_socket_(context),
+      probe_(context, [this](const upstream_entry& upstream) {
+        counters_.Count("upstreams_lost_total", {{"source", "probe"}});
+        crashes_.OnUpstreamGone(upstream, "probe", MonotonicNow());
+      }) {
   timers_.SubscribePeriodic(
       kPruneInterval, [this] { upstream_client_.PruneIdleConnections(); });
   timers_.SubscribePeriodic(kSubscribeInterval,
                             [this] { SubscribeToReports(); });
   timers_.SubscribePeriodic(kCrashNoticeInterval, [this] {
     SendToStagers(crashes_.TakeNotice(MonotonicNow()));
+    SendRequestNotices(crashes_.TakeRequestNotices(MonotonicNow()));
   });
   timers_.SubscribePeriodic(kObservationInterval, [this] { Observe(); });
 }
@@ -161,8 +167,12 @@
   if (upstreams_) {
     for (const auto& [id, entry] : *upstreams_) {
       const auto found = upstreams->find(id);
-      if (found == upstreams->end() || found->second.draining ||
-          found->second.started_ms != entry.started_ms) {
+      const bool gone = found == upstreams->end() ||
+                        found->second.started_ms != entry.started_ms;
+      if (gone && !entry.draining) {
+        crashes_.OnUpstreamGone(entry, "list", MonotonicNow());
+      }
+      if (gone || found->second.draining) {
         if (const auto endpoint = ParseHttpEndpoint(entry.address)) {
           upstream_client_.CloseIdleConnections(*endpoint);
         }
@@ -332,6 +342,45 @@
   }
 }
 
+void gateway::SendRequestNotices(
+    const crash_monitor::request_notices& notices) {
+  SendToStagers(notices.repeated);
+  SendToCollectors(notices.single);
+}
+
+void gateway::SendToCollectors(const crash_notice& notice) {
+  if (!upstreams_ || !report_socket_.is_open()) {
+    return;
+  }
+  std::map<udp::endpoint, crash_notice> by_stager;
+  for (const crash_evidence& evidence : notice.evidence) {
+    const std::string key = std::to_string(evidence.part);
+    using choice = std::pair<std::uint64_t, const upstream_entry*>;
+    std::map<data_centre_id, choice> collectors;
+    for (const auto& [id, entry] : *upstreams_) {
+      if (entry.has_engine && !entry.draining) {
+        choice& best = collectors[entry.data_centre];
+        best = std::max(best, {RendezvousScore(key, id.value()), &entry});
+      }
+    }
+    for (const auto& [data_centre, best] : collectors) {
+      if (const auto endpoint = StagerEndpoint(*best.second)) {
+        crash_notice& collected = by_stager[*endpoint];
+        collected.whole_requests = notice.whole_requests;
+        collected.evidence.push_back(evidence);
+      }
+    }
+  }
+  for (const auto& [endpoint, collected] : by_stager) {
+    for (const crash_notice& part : SplitNotice(collected)) {
+      const std::vector<std::uint8_t> datagram = EncodeLoadMessage(part);
+      boost::system::error_code ignored;  // repeated with the subscriptions
+      report_socket_.send_to(boost::asio::buffer(datagram), endpoint, 0,
+                             ignored);
+    }
+  }
+}
+
 void gateway::Observe() {
   const time_point now = MonotonicNow();
   const duration late =
@@ -376,6 +425,7 @@
                            0, ignored);
   }
   SendToStagers(crashes_.RecentNotice(MonotonicNow()));
+  SendRequestNotices(crashes_.RecentRequestNotices(MonotonicNow()));
 }
 
 void gateway::Apply(const dispatcher::action& action) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "fireflyslip/placement.h"
 #include "fireflyslip/runtime.h"
 #include "gateway/crash_monitor.h"
+#include "gateway/upstream_probe.h"
 #include "node/node_settings.h"
 
 namespace fireflyslip {
@@ -71,6 +72,7 @@
   double RetryAllowance() const;
   double Random() { return random_.Fraction(); }
   crash_monitor& crashes() { return crashes_; }
+  upstream_probe& probe() { return probe_; }
   /// \brief Memory of all responses that are being received.
   const std::shared_ptr<memory_budget>& response_memory() const {
     return response_memory_;
@@ -83,6 +85,11 @@
   void SubscribeToReports();
   void OnLoadReport(const load_report& report);
   void SendToStagers(const crash_notice& notice);
+  void SendRequestNotices(const crash_monitor::request_notices& notices);
+  /// \brief Sends evidence about each request to one stager of each data
+  /// centre, which follows from the request, so that all gateways choose the
+  /// same ones.
+  void SendToCollectors(const crash_notice& notice);
   std::optional<boost::asio::ip::udp::endpoint> StagerEndpoint(
       const upstream_entry& upstream) const;
   /// \brief Lets the dispatcher observe that this process runs.
@@ -109,6 +116,7 @@
   std::map<std::string, upstream_id> upstreams_by_address_;
   std::map<service_name, retry_window> retry_budgets_;
   crash_monitor crashes_;
+  upstream_probe probe_;
   std::optional<time_point> keys_current_as_of_;
   std::optional<time_point> answer_by_;
   dispatch_id next_dispatch_ = 1;
--- a/src/node/load_report.cc
+++ b/src/node/load_report.cc
@@ -15,6 +15,7 @@
 constexpr int kSubscriptionType = 1;
 constexpr int kReportType = 2;
 constexpr int kCrashNoticeType = 3;
+constexpr int kRequestCrashNoticeType = 4;
 /// Elements of the evidence of one part before its crashes.
 constexpr std::size_t kEvidenceHeaderSize = 3;
 /// Elements of one crash.
@@ -72,6 +73,7 @@
 
 std::optional<crash_notice> DecodeCrashNotice(const json& value) {
   crash_notice notice;
+  notice.whole_requests = value[0] == kRequestCrashNoticeType;
   for (std::size_t i = 1; i < value.size(); ++i) {
     std::optional<crash_evidence> evidence = DecodeEvidence(value[i]);
     if (!evidence || notice.evidence.size() == kMaxEvidencePerNotice) {
@@ -98,7 +100,9 @@
                  static_cast<std::uint64_t>(subscription.interval.count())});
           },
           [](const crash_notice& notice) {
-            json list = json::array({kCrashNoticeType});
+            json list =
+                json::array({notice.whole_requests ? kRequestCrashNoticeType
+                                                   : kCrashNoticeType});
             for (const crash_evidence& evidence : notice.evidence) {
               list.push_back(EncodeEvidence(evidence));
             }
@@ -128,13 +132,24 @@
   for (const crash_evidence& evidence : notice.evidence) {
     if (parts.empty() ||
         parts.back().evidence.size() == kMaxEvidencePerNotice) {
-      parts.emplace_back();
+      parts.emplace_back().whole_requests = notice.whole_requests;
     }
     parts.back().evidence.push_back(evidence);
   }
   return parts;
 }
 
+crash_notice RepeatedCrashes(const crash_attribution& request_crashes,
+                             time_point since,
+                             time_point now) {
+  std::vector<crash_evidence> changed =
+      request_crashes.ChangedSince(since, now);
+  std::erase_if(changed,
+                [](const crash_evidence& item) { return !IsRepeated(item); });
+  return {Strongest(std::move(changed), kMaxRepeatedRequests),
+          /*whole_requests=*/true};
+}
+
 std::optional<load_message> DecodeLoadMessage(
     std::span<const std::uint8_t> datagram) {
   const json value = ParseCbor(
@@ -147,7 +162,8 @@
                              value[2].get<std::uint64_t>(),
                              duration(value[3].get<duration::rep>())};
   }
-  if (!value.empty() && value[0] == kCrashNoticeType) {
+  if (!value.empty() &&
+      (value[0] == kCrashNoticeType || value[0] == kRequestCrashNoticeType)) {
     return DecodeCrashNotice(value);
   }
   if (!IsReport(value)) {
--- a/src/node/load_report.h
+++ b/src/node/load_report.h
@@ -41,6 +41,8 @@
 /// that it follows, and from a stager to its subscribers.
 struct crash_notice {
   std::vector<crash_evidence> evidence;
+  /// Whether it concerns whole requests instead of parts of prompts.
+  bool whole_requests = false;
 
   bool operator==(const crash_notice&) const = default;
 };
@@ -48,6 +50,9 @@
 /// Bounds the size of a datagram.
 inline constexpr std::size_t kMaxEvidencePerNotice = 6;
 inline constexpr std::size_t kMaxLoadDatagramBytes = 4096;
+/// Bounds the bytes that requests which crash upstreams may take on the link of
+/// a stager, however many there are.
+inline constexpr std::size_t kMaxRepeatedRequests = 8;
 /// Time for which evidence is repeated, because datagrams may be lost.
 inline constexpr duration kEvidenceRepeatTime = seconds(3);
 
@@ -59,6 +64,12 @@
 /// \brief Splits evidence into notices that fit into a datagram each.
 std::vector<crash_notice> SplitNotice(const crash_notice& notice);
 
+/// \brief Requests that were at two crashes or more and whose evidence has
+/// changed; those with the most crashes.
+crash_notice RepeatedCrashes(const crash_attribution& request_crashes,
+                             time_point since,
+                             time_point now);
+
 /// \brief Decodes a datagram; empty if it is malformed.
 std::optional<load_message> DecodeLoadMessage(
     std::span<const std::uint8_t> datagram);
--- a/src/retry/crash_attribution.cc
+++ b/src/retry/crash_attribution.cc
@@ -8,12 +8,6 @@
 namespace fireflyslip {
 namespace {
 
-/// Events without a request that began since, after which a part is blocked.
-/// A part that has never been answered is more likely to be the cause.
-constexpr std::size_t kBlockingEvents = 2;
-constexpr std::size_t kBlockingEventsIfBegunBefore = 3;
-/// Upper bound where upstreams also crash for other reasons.
-constexpr std::size_t kMaxBlockingEvents = 8;
 /// Time before the first event of a part in which events without it count in
 /// its favour.
 constexpr milliseconds kMissWindowBefore{8000};
@@ -37,32 +31,53 @@
 constexpr std::size_t kMaxSuspectedRequests = 4096;
 /// Crashes that are kept of one part.
 constexpr std::size_t kMaxCrashes = 24;
-/// Longest time between the end of a connection to a crashed upstream and the
-/// report of its agent, in either order.
-constexpr milliseconds kReportDelay{1500};
 /// Parts that are remembered as answered.
 constexpr std::size_t kMaxBegunParts = 4096;
 
-/// Number of events that block a part.
-/// \param missed events after its first one at which the part was not.
-/// \param missed_before events before its first one.
-std::size_t RequiredEvents(bool never_begun,
-                           std::size_t missed,
-                           std::size_t missed_before) {
-  const std::size_t alone =
-      never_begun ? kBlockingEvents : kBlockingEventsIfBegunBefore;
-  return std::min(alone + (missed + 1) / 2 + missed_before / 2,
-                  kMaxBlockingEvents);
-}
-
 }  // namespace
 
 crash_id CrashOf(const upstream_id& upstream, std::uint64_t started_ms) {
   return StableHash(upstream.value(), started_ms);
 }
 
-crash_attribution::crash_attribution(duration lifetime, std::size_t bound)
-    : lifetime_(lifetime), bound_(bound) {}
+bool IsRepeated(const crash_evidence& evidence) {
+  const auto by_age = [](const auto& a, const auto& b) {
+    return a.second.age < b.second.age;
+  };
+  const auto [newest, oldest] = std::minmax_element(
+      evidence.crashes.begin(), evidence.crashes.end(), by_age);
+  return newest != evidence.crashes.end() &&
+         oldest->second.age - newest->second.age > kEventLength;
+}
+
+std::vector<crash_evidence> Strongest(std::vector<crash_evidence> evidence,
+                                      std::size_t count) {
+  const auto is_stronger = [](const crash_evidence& a,
+                              const crash_evidence& b) {
+    return std::pair(b.crashes.size(), a.age) <
+           std::pair(a.crashes.size(), b.age);
+  };
+  std::stable_sort(evidence.begin(), evidence.end(), is_stronger);
+  evidence.resize(std::min(evidence.size(), count));
+  return evidence;
+}
+
+crash_policy RequestCrashPolicy() {
+  crash_policy policy;
+  policy.blocking_events = 3;
+  // A gateway without contact to others sees their crashes only through the
+  // requests beside, so events without the request tell nothing.
+  policy.max_blocking_events = 3;
+  policy.ambiguous_blocking_events = 5;
+  policy.lifetime = std::chrono::minutes(10);
+  policy.max_parts = 1024;
+  // The platform lists a silent upstream for several heartbeats.
+  policy.report_delay = seconds(6);
+  return policy;
+}
+
+crash_attribution::crash_attribution(crash_policy policy)
+    : policy_(std::move(policy)) {}
 
 void crash_attribution::AttemptStarted(std::uint64_t request,
                                        crash_id incarnation,
@@ -78,7 +93,7 @@
   found->second.begun = true;
   bool changed = false;
   for (const prompt_part part : found->second.parts) {
-    begun_.insert(part);
+    begun_[part] = now;
     const auto suspected = records_.find(part);
     if (suspected == records_.end()) {
       continue;
@@ -101,7 +116,7 @@
 }
 
 void crash_attribution::AttemptEnded(std::uint64_t request,
-                                     bool interrupted,
+                                     attempt_end end,
                                      time_point now) {
   const auto found = attempts_.find(request);
   if (found == attempts_.end()) {
@@ -109,12 +124,13 @@
   }
   const attempt ended = std::move(found->second);
   attempts_.erase(found);
-  if (!interrupted || ended.begun || ended.parts.empty()) {
+  if (end == attempt_end::kResponse || ended.begun || ended.parts.empty()) {
     return;
   }
   const auto lost = lost_.find(ended.incarnation);
-  const interrupted_attempt last{request, ended.incarnation, ended.parts, now};
-  if (lost != lost_.end() && now - lost->second <= kReportDelay) {
+  const interrupted_attempt last{request, ended.incarnation, ended.parts, now,
+                                 end};
+  if (lost != lost_.end() && now - lost->second <= policy_.report_delay) {
     Suspect(last, now);
     UpdateBlocked();
     return;
@@ -129,7 +145,8 @@
   lost_.insert_or_assign(incarnation, now);
   time_point latest;
   for (const interrupted_attempt& ended : interrupted_) {
-    if (ended.incarnation == incarnation) {
+    if (ended.incarnation == incarnation &&
+        ended.end == attempt_end::kInterrupted) {
       latest = std::max(latest, ended.at);
     }
   }
@@ -138,7 +155,8 @@
       return false;
     }
     // A connection that ended earlier than others was reset before the crash.
-    if (latest - ended.at <= kEventLength) {
+    if (ended.end == attempt_end::kSilent ||
+        latest - ended.at <= kEventLength) {
       Suspect(ended, now);
     }
     return true;
@@ -151,26 +169,29 @@
   Expire(now);
   bool changed = false;
   for (const crash_evidence& other : evidence) {
-    if (other.age > lifetime_) {
+    if (other.age > policy_.lifetime) {
       continue;
     }
     record* const own = FindOrAdd(other.part);
     if (own == nullptr) {
       continue;
     }
+    const std::optional<time_point> begun_at = BegunAt(other.part);
     const bool begun_before =
-        own->begun_before || other.begun_before || HasBegun(other.part);
+        own->begun_before || other.begun_before || begun_at.has_value();
     bool is_new = begun_before != own->begun_before;
     own->begun_before = begun_before;
     for (const auto& [crash, sighting] : other.crashes) {
       const time_point at = now - sighting.age;
+      // A request may have begun here before the crash became known.
+      const bool cleared = sighting.cleared || (begun_at && at < *begun_at);
       const auto found = own->crashes.find(crash);
       if (found != own->crashes.end()) {
-        is_new |= sighting.cleared && !found->second.cleared;
-        found->second.cleared |= sighting.cleared;
+        is_new |= cleared && !found->second.cleared;
+        found->second.cleared |= cleared;
         found->second.at = std::min(found->second.at, at);
       } else {
-        is_new |= AddCrash(*own, crash, {sighting.cleared, at});
+        is_new |= AddCrash(*own, crash, {cleared, at});
       }
     }
     if (is_new) {
@@ -211,6 +232,11 @@
   });
 }
 
+bool crash_attribution::IsSuspect(prompt_part part) const {
+  const auto found = records_.find(part);
+  return found != records_.end() && !UnclearedCrashes(found->second).empty();
+}
+
 std::vector<crash_attribution::counted_crash> crash_attribution::CountedCrashes(
     prompt_part part,
     time_point now) const {
@@ -248,7 +274,7 @@
     if (own == nullptr) {
       continue;
     }
-    own->begun_before |= HasBegun(part);
+    own->begun_before |= BegunAt(part).has_value();
     if (AddCrash(*own, ended.incarnation, {false, at})) {
       own->changed_at = now;
       own->received_at = now;
@@ -373,26 +399,52 @@
   if (found != records_.end()) {
     return &found->second;
   }
-  if (records_.size() >= bound_) {
-    const auto cleared = std::find_if(
-        records_.begin(), records_.end(),
-        [](const auto& item) { return UnclearedCrashes(item.second).empty(); });
-    if (cleared == records_.end()) {
+  if (records_.size() >= policy_.max_parts) {
+    const auto crashes_and_time = [](const auto& item) {
+      return std::pair(UnclearedCrashes(item.second).size(),
+                       item.second.changed_at);
+    };
+    const auto weakest = std::min_element(
+        records_.begin(), records_.end(), [&](const auto& a, const auto& b) {
+          return crashes_and_time(a) < crashes_and_time(b);
+        });
+    if (UnclearedCrashes(weakest->second).size() >= policy_.blocking_events) {
       return nullptr;
     }
-    records_.erase(cleared);
+    records_.erase(weakest);
   }
   return &records_[part];
 }
 
+std::optional<time_point> crash_attribution::BegunAt(prompt_part part) const {
+  for (const auto* begun : {&begun_, &begun_earlier_}) {
+    const auto found = begun->find(part);
+    if (found != begun->end()) {
+      return found->second;
+    }
+  }
+  return std::nullopt;
+}
+
+std::size_t crash_attribution::RequiredEvents(bool never_begun,
+                                              std::size_t missed,
+                                              std::size_t missed_before) const {
+  const std::size_t alone = never_begun
+                                ? policy_.blocking_events
+                                : policy_.blocking_events_if_begun_before;
+  return std::min(alone + (missed + 1) / 2 + missed_before / 2,
+                  policy_.max_blocking_events);
+}
+
 void crash_attribution::Expire(time_point now) {
-  std::erase_if(interrupted_, [now](const interrupted_attempt& ended) {
-    return now - ended.at > kReportDelay;
+  std::erase_if(interrupted_, [&](const interrupted_attempt& ended) {
+    return now - ended.at > policy_.report_delay;
+  });
+  std::erase_if(lost_, [&](const auto& item) {
+    return now - item.second > policy_.lifetime;
   });
-  std::erase_if(
-      lost_, [&](const auto& item) { return now - item.second > lifetime_; });
   const std::size_t expired = std::erase_if(records_, [&](const auto& item) {
-    return now - item.second.changed_at > lifetime_;
+    return now - item.second.changed_at > policy_.lifetime;
   });
   if (expired > 0) {
     UpdateBlocked();
@@ -405,8 +457,8 @@
   for (const auto& [part, known] : records_) {
     unexplained[part] = UnclearedCrashes(known);
   }
-  const auto may_block = [](const auto& item) {
-    return item.second.size() >= kBlockingEvents;
+  const auto may_block = [this](const auto& item) {
+    return item.second.size() >= policy_.blocking_events;
   };
   if (std::none_of(unexplained.begin(), unexplained.end(), may_block)) {
     return;
@@ -445,7 +497,7 @@
     }
     // With few events, several parts may be in all of them by coincidence.
     const bool ambiguous =
-        causes.size() > 1 && highest.first < kBlockingEventsIfBegunBefore;
+        causes.size() > 1 && highest.first < policy_.ambiguous_blocking_events;
     if (causes.empty() || ambiguous) {
       return;
     }
--- a/src/stager/load_publisher.cc
+++ b/src/stager/load_publisher.cc
@@ -101,10 +101,17 @@
   crashes_.Expire(now);
   SendEvidence(may_be_restarted ? time_point() : now - kEvidenceRepeatTime,
                from);
+  // A gateway may have been cut off in one direction, so all is repeated.
+  request_crashes_.Expire(now);
+  SendRequestEvidence(time_point(), from);
 }
 
 void load_publisher::OnCrashNotice(const crash_notice& notice) {
   const time_point now = MonotonicNow();
+  if (notice.whole_requests) {
+    request_crashes_changed_ |= request_crashes_.Merge(notice.evidence, now);
+    return;
+  }
   if (!crashes_.Merge(notice.evidence, now)) {
     return;
   }
@@ -115,8 +122,17 @@
 
 void load_publisher::SendEvidence(time_point changed_since,
                                   const udp::endpoint& to) {
-  const crash_notice notice{
-      crashes_.ChangedSince(changed_since, MonotonicNow())};
+  SendNotice({crashes_.ChangedSince(changed_since, MonotonicNow())}, to);
+}
+
+void load_publisher::SendRequestEvidence(time_point changed_since,
+                                         const udp::endpoint& to) {
+  SendNotice(RepeatedCrashes(request_crashes_, changed_since, MonotonicNow()),
+             to);
+}
+
+void load_publisher::SendNotice(const crash_notice& notice,
+                                const udp::endpoint& to) {
   for (const crash_notice& part : SplitNotice(notice)) {
     const std::vector<std::uint8_t> datagram = EncodeLoadMessage(part);
     boost::system::error_code ignored;  // repeated at the next subscription
@@ -141,6 +157,12 @@
     }
     on_load_(load);
     Send(load, false);
+    if (std::exchange(request_crashes_changed_, false)) {
+      for (const auto& [vm, subscriber] : subscribers_) {
+        SendRequestEvidence(request_crashes_sent_at_, subscriber.endpoint);
+      }
+      request_crashes_sent_at_ = MonotonicNow();
+    }
     timer.expires_after(PollInterval());
     boost::system::error_code ignored;
     co_await timer.async_wait(
--- a/src/stager/load_publisher.h
+++ b/src/stager/load_publisher.h
@@ -47,8 +47,15 @@
   void Send(const upstream_load& load, bool immediately);
   void OnSubscription(const load_subscription& subscription,
                       const boost::asio::ip::udp::endpoint& from);
-  /// \brief Passes evidence on to the subscribers if it is new.
+  /// \brief Passes evidence on to the subscribers if it is new. That about
+  /// whole requests waits for the next poll and is limited.
   void OnCrashNotice(const crash_notice& notice);
+  /// \brief Sends the strongest evidence about whole requests that crashed
+  /// upstreams repeatedly.
+  void SendRequestEvidence(time_point changed_since,
+                           const boost::asio::ip::udp::endpoint& to);
+  void SendNotice(const crash_notice& notice,
+                  const boost::asio::ip::udp::endpoint& to);
   void SendEvidence(time_point changed_since,
                     const boost::asio::ip::udp::endpoint& to);
 
@@ -69,6 +76,9 @@
   bool load_pending_ = false;
   upstream_load last_load_;
   crash_attribution crashes_;
+  crash_attribution request_crashes_{RequestCrashPolicy()};
+  bool request_crashes_changed_ = false;  // since they were sent
+  time_point request_crashes_sent_at_;
 };
 
 }  // namespace fireflyslip
--- a/tests/retry/crash_attribution_test.cc
+++ b/tests/retry/crash_attribution_test.cc
@@ -25,7 +25,7 @@
       core_.AttemptStarted(request_, upstream, parts);
     }
     for (const std::uint64_t id : ids) {
-      core_.AttemptEnded(id, true, now_);
+      core_.AttemptEnded(id, attempt_end::kInterrupted, now_);
     }
     core_.UpstreamLost(upstream, now_ + milliseconds(50));
     now_ += seconds(1);
@@ -34,7 +34,7 @@
   void Succeed(const std::vector<prompt_part>& parts) {
     core_.AttemptStarted(++request_, 1000, parts);
     core_.AttemptBegun(request_, now_);
-    core_.AttemptEnded(request_, false, now_);
+    core_.AttemptEnded(request_, attempt_end::kResponse, now_);
   }
 
   time_point now_ = time_point(seconds(100));
@@ -84,7 +84,8 @@
 TEST_F(crash_attribution_test, Crash_ManyAtOnce_OneEvent) {
   for (crash_id crash = 10; crash < 18; ++crash) {
     core_.AttemptStarted(crash, crash, {kShared});
-    core_.AttemptEnded(crash, true, now_ + milliseconds(crash));
+    core_.AttemptEnded(crash, attempt_end::kInterrupted,
+                       now_ + milliseconds(crash));
     core_.UpstreamLost(crash, now_ + milliseconds(100));
   }
   EXPECT_THAT(core_.blocked(), IsEmpty());
@@ -97,7 +98,7 @@
   for (crash_id crash = 10; crash < 18; ++crash) {
     crash_attribution other;
     other.AttemptStarted(1, crash, {kShared});
-    other.AttemptEnded(1, true, now_);
+    other.AttemptEnded(1, attempt_end::kInterrupted, now_);
     other.UpstreamLost(crash, now_);
     const time_point received_at = now_ + milliseconds(crash * 50);
     core_.Merge(other.ChangedSince({}, received_at), received_at);
@@ -110,7 +111,7 @@
 TEST_F(crash_attribution_test, Crash_RetryOfOneRequest_OneEvent) {
   for (crash_id crash = 10; crash < 14; ++crash) {
     core_.AttemptStarted(1, crash, {kRare});
-    core_.AttemptEnded(1, true, now_);
+    core_.AttemptEnded(1, attempt_end::kInterrupted, now_);
     core_.UpstreamLost(crash, now_);
     now_ += seconds(1);
   }
@@ -122,7 +123,7 @@
   for (crash_id crash = 10; crash < 14; ++crash) {
     core_.AttemptStarted(++request_, crash, {kRare});
     core_.AttemptBegun(request_, now_);
-    core_.AttemptEnded(request_, true, now_);
+    core_.AttemptEnded(request_, attempt_end::kInterrupted, now_);
     core_.UpstreamLost(crash, now_);
   }
   EXPECT_EQ(core_.size(), 0U);
@@ -133,7 +134,7 @@
 TEST_F(crash_attribution_test, Interrupted_UpstreamNotLost_NotSuspected) {
   for (crash_id crash = 10; crash < 14; ++crash) {
     core_.AttemptStarted(++request_, crash, {kRare});
-    core_.AttemptEnded(request_, true, now_);
+    core_.AttemptEnded(request_, attempt_end::kInterrupted, now_);
     now_ += seconds(2);
     core_.UpstreamLost(crash, now_);
   }
@@ -146,7 +147,8 @@
   for (crash_id crash = 10; crash < 12; ++crash) {
     core_.AttemptStarted(++request_, crash, {kCrashing});
     core_.UpstreamLost(crash, now_);
-    core_.AttemptEnded(request_, true, now_ + milliseconds(100));
+    core_.AttemptEnded(request_, attempt_end::kInterrupted,
+                       now_ + milliseconds(100));
     now_ += seconds(1);
   }
   EXPECT_THAT(core_.blocked(), ElementsAre(kCrashing));
@@ -157,7 +159,7 @@
 TEST_F(crash_attribution_test, Merge_CrashSeenByAnotherGateway_Blocked) {
   crash_attribution other;
   other.AttemptStarted(1, 20, {kCrashing});
-  other.AttemptEnded(1, true, now_);
+  other.AttemptEnded(1, attempt_end::kInterrupted, now_);
   other.UpstreamLost(20, now_);
   now_ += seconds(1);
   Crash(10, {{kCrashing}});
@@ -175,7 +177,7 @@
   crash_attribution other;
   for (crash_id crash = 20; crash < 22; ++crash) {
     other.AttemptStarted(crash, crash, {kShared, kCrashing});
-    other.AttemptEnded(crash, true, now_);
+    other.AttemptEnded(crash, attempt_end::kInterrupted, now_);
     other.UpstreamLost(crash, now_);
     now_ += seconds(1);
   }
@@ -211,19 +213,19 @@
 // Guards against a cause that is not recorded because cleared evidence of sound
 // parts fills the memory.
 TEST_F(crash_attribution_test, Suspects_ManyCleared_CauseStillRecorded) {
-  crash_attribution core(seconds(60), 4);
+  crash_attribution core({.lifetime = seconds(60), .max_parts = 4});
   for (prompt_part part = 10; part < 20; ++part) {
     core.AttemptStarted(part, part, {part});
-    core.AttemptEnded(part, true, now_);
+    core.AttemptEnded(part, attempt_end::kInterrupted, now_);
     core.UpstreamLost(part, now_);
     core.AttemptStarted(part, 1000, {part});
     core.AttemptBegun(part, now_);
-    core.AttemptEnded(part, false, now_);
+    core.AttemptEnded(part, attempt_end::kResponse, now_);
   }
   now_ += seconds(1);
   for (crash_id crash = 30; crash < 32; ++crash) {
     core.AttemptStarted(crash, crash, {kCrashing});
-    core.AttemptEnded(crash, true, now_);
+    core.AttemptEnded(crash, attempt_end::kInterrupted, now_);
     core.UpstreamLost(crash, now_);
     now_ += seconds(1);
   }
@@ -235,9 +237,9 @@
 TEST_F(crash_attribution_test, Interrupted_LongBeforeOthers_NotSuspected) {
   core_.AttemptStarted(1, 10, {kRare});
   core_.AttemptStarted(2, 10, {kShared});
-  core_.AttemptEnded(1, true, now_);
+  core_.AttemptEnded(1, attempt_end::kInterrupted, now_);
   now_ += milliseconds(500);
-  core_.AttemptEnded(2, true, now_);
+  core_.AttemptEnded(2, attempt_end::kInterrupted, now_);
   core_.UpstreamLost(10, now_);
   EXPECT_THAT(core_.CountedCrashes(kRare, now_), IsEmpty());
   EXPECT_EQ(core_.CountedCrashes(kShared, now_).size(), 1U);
@@ -255,14 +257,84 @@
 
 // Guards against memory that grows with the number of crashing requests.
 TEST_F(crash_attribution_test, Suspects_Many_Bounded) {
-  crash_attribution core(seconds(60), 4);
+  crash_attribution core({.lifetime = seconds(60), .max_parts = 4});
   for (prompt_part part = 1; part < 100; ++part) {
     core.AttemptStarted(part, part, {part});
-    core.AttemptEnded(part, true, now_);
+    core.AttemptEnded(part, attempt_end::kInterrupted, now_);
     core.UpstreamLost(part, now_);
   }
   EXPECT_LE(core.size(), 4U);
 }
 
+// Guards against sound requests that are refused because they ran beside two
+// crashes with another cause.
+TEST_F(crash_attribution_test, WholeRequest_TwoCrashes_NotBlocked) {
+  core_ = crash_attribution(RequestCrashPolicy());
+  Crash(10, {{kCrashing}});
+  Crash(11, {{kCrashing}});
+  EXPECT_TRUE(core_.IsSuspect(kCrashing));
+  EXPECT_THAT(core_.blocked(), IsEmpty());
+  Crash(12, {{kCrashing}});
+  EXPECT_THAT(core_.blocked(), ElementsAre(kCrashing));
+}
+
+// Guards against blocking a request that was at as many crashes as another one.
+TEST_F(crash_attribution_test, WholeRequest_OtherAtSameCrashes_NotBlocked) {
+  core_ = crash_attribution(RequestCrashPolicy());
+  for (crash_id crash = 10; crash < 13; ++crash) {
+    Crash(crash, {{kCrashing}, {kRare}});
+  }
+  EXPECT_THAT(core_.blocked(), IsEmpty());
+  Crash(13, {{kCrashing}});
+  EXPECT_THAT(core_.blocked(), ElementsAre(kCrashing));
+}
+
+// Guards against a request whose crashes are not counted, because the upstreams
+// fall silent and the platform lists them for several seconds.
+TEST_F(crash_attribution_test, WholeRequest_UpstreamsSilent_Blocked) {
+  core_ = crash_attribution(RequestCrashPolicy());
+  for (crash_id crash = 10; crash < 13; ++crash) {
+    core_.AttemptStarted(crash, crash, {kCrashing});
+    core_.AttemptEnded(crash, attempt_end::kSilent, now_);
+    now_ += seconds(1);
+  }
+  now_ += seconds(3);
+  for (crash_id crash = 10; crash < 13; ++crash) {
+    core_.UpstreamLost(crash, now_);
+  }
+  EXPECT_THAT(core_.blocked(), ElementsAre(kCrashing));
+}
+
+// Guards against evidence of one gateway against a request that another gateway
+// has answered since.
+TEST_F(crash_attribution_test, Merge_BegunHereSince_Cleared) {
+  Crash(10, {{kRare}});
+  Crash(11, {{kRare}});
+  const std::vector<crash_evidence> evidence =
+      core_.ChangedSince(time_point(), now_);
+  crash_attribution other;
+  other.AttemptStarted(1, 20, {kRare});
+  other.AttemptBegun(1, now_);
+  other.Merge(evidence, now_ + milliseconds(10));
+  EXPECT_FALSE(other.IsSuspect(kRare));
+  core_.Merge(other.ChangedSince(time_point(), now_ + milliseconds(10)),
+              now_ + milliseconds(20));
+  EXPECT_THAT(core_.blocked(), IsEmpty());
+}
+
+// Guards against messages that grow with the number of interrupted requests:
+// only those that were at two crashes apart are of interest to all.
+TEST_F(crash_attribution_test, Evidence_OfOneEvent_NotRepeated) {
+  Crash(10, {{kRare}, {kShared}});
+  Crash(11, {{kShared}});
+  const std::vector<crash_evidence> evidence =
+      core_.ChangedSince(time_point(), now_);
+  ASSERT_EQ(evidence.size(), 2U);
+  for (const crash_evidence& item : evidence) {
+    EXPECT_EQ(IsRepeated(item), item.part == kShared);
+  }
+  EXPECT_EQ(Strongest(evidence, 1).front().part, kShared);
+}
+
 }  // namespace
 }  // namespace fireflyslip
--- a/tests/retry/crash_replay_test.cc
+++ b/tests/retry/crash_replay_test.cc
@@ -242,12 +242,12 @@
       if (found->second.reset) {
         attempt ended = std::move(found->second);
         attempts_.erase(found);
-        core.AttemptEnded(id, true, now_);
+        core.AttemptEnded(id, attempt_end::kInterrupted, now_);
         Fail(std::move(ended.content));
         continue;
       }
       core.AttemptBegun(id, now_);
-      core.AttemptEnded(id, false, now_);
+      core.AttemptEnded(id, attempt_end::kResponse, now_);
       ++sound_begun_;
       attempts_.erase(found);
     }
@@ -264,7 +264,8 @@
       if (item.second.upstream != upstream) {
         return false;
       }
-      gateways_[item.second.gateway].AttemptEnded(item.first, true, now_);
+      gateways_[item.second.gateway].AttemptEnded(
+          item.first, attempt_end::kInterrupted, now_);
       interrupted.push_back(item.second);
       return true;
     });
