--- /dev/null
+++ b/tests/gateway/crash_monitor_test.cc
@@ -0,0 +1,78 @@
+#include "gateway/crash_monitor.h"
+
+#include <gtest/gtest.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "fireflyslip/core/hash.h"
+#include "node/load_report.h"
+
+namespace fireflyslip {
+namespace {
+
+constexpr milliseconds kNoticeInterval{100};
+constexpr milliseconds kSubscriptionInterval{800};
+/// Stagers that a gateway follows.
+constexpr std::size_t kStagers = 28;
+/// What a node may spend for control.
+constexpr std::size_t kBytesPerSecond = 25'000;
+
+class crash_monitor_test : public testing::Test {
+ protected:
+  static std::size_t Bytes(const crash_notice& notice) {
+    std::size_t bytes = 0;
+    for (const crash_notice& part : SplitNotice(notice)) {
+      bytes += EncodeLoadMessage(part).size();
+    }
+    return bytes;
+  }
+
+  /// \brief Upstreams crash in series; each one interrupts requests with many
+  /// of the shared parts. Other gateways report the same.
+  /// \returns bytes that this gateway sends.
+  std::size_t Crash(duration length, duration interval) {
+    constexpr std::size_t kParts = 180;
+    constexpr std::size_t kInterrupted = 24;
+    std::size_t sent = 0;
+    crash_id crash = 0;
+    std::vector<crash_evidence> known(kParts);
+    for (std::size_t i = 0; i < kParts; ++i) {
+      known[i].part = StableHash(std::to_string(i));
+    }
+    for (const time_point end = now_ + length; now_ < end;
+         now_ += kNoticeInterval) {
+      if (now_.time_since_epoch() % interval == duration(0)) {
+        ++crash;
+        crash_notice notice;
+        for (std::size_t i = 0; i < kInterrupted; ++i) {
+          crash_evidence& item = known[(crash * 7 + i * 5) % kParts];
+          item.crashes[StableHash("crash", crash)] = {};
+          notice.evidence.push_back(item);
+        }
+        monitor_.OnNotice(notice, now_);
+      }
+      sent += Bytes(monitor_.TakeNotice(now_)) * kStagers;
+      if (now_.time_since_epoch() % kSubscriptionInterval == duration(0)) {
+        sent += Bytes(monitor_.RecentNotice(now_)) * kStagers;
+      }
+    }
+    return sent;
+  }
+
+  time_point now_{std::chrono::seconds(800)};
+  crash_monitor monitor_;
+};
+
+// Guards against evidence that fills the links of gateways and stagers while
+// many upstreams crash, so that answers do not reach the clients.
+TEST_F(crash_monitor_test, Crashes_InSeries_BytesBounded) {
+  constexpr std::size_t kSeconds = 10;
+  EXPECT_LE(Crash(std::chrono::seconds(kSeconds), milliseconds(200)),
+            kBytesPerSecond * kSeconds);
+}
+
+}  // namespace
+}  // namespace fireflyslip
