Limit the bytes of crash evidence

Answers reached clients late or not at all while replicas crashed in series.

Cause: each crash changes the evidence of all parts of prompts that waited there. Each gateway sent all that had changed to the 28 stagers that it follows every 0.1 s, and once more with each subscription; each stager passed it on to all subscribers. This filled the links of stagers and those between regions. Class: a notice whose cost grows with processes times state.

evidence_queue limits what is sent to each receiver to 600 bytes a second for parts and 200 for whole requests; what was at the most crashes goes first.

--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -11,7 +11,7 @@
 
 /// Single crashes of requests that are sent at once: a crash interrupts all
 /// requests of an upstream.
-constexpr std::size_t kMaxSingleRequests = 32;
+constexpr std::size_t kMaxSingleRequests = 8;
 
 /// Crashes that count against a part, as `EVENT:CRASH@AGE_MS`, without spaces.
 std::string CrashList(
@@ -104,18 +104,20 @@
 }
 
 crash_monitor::request_notices crash_monitor::RecentRequestNotices(
-    time_point now) const {
+    time_point now) {
   return RequestNoticesSince(now - kEvidenceRepeatTime, now);
 }
 
 crash_monitor::request_notices crash_monitor::RequestNoticesSince(
     time_point since,
-    time_point now) const {
+    time_point now) {
+  request_queue_.Add(RepeatedCrashes(requests_, since, now));
+  std::vector<crash_evidence> single = requests_.ChangedSince(since, now);
+  std::erase_if(single, IsRepeated);
   request_notices notices;
-  notices.repeated = RepeatedCrashes(requests_, since, now);
-  std::vector<crash_evidence> changed = requests_.ChangedSince(since, now);
-  std::erase_if(changed, IsRepeated);
-  notices.single = {Strongest(std::move(changed), kMaxSingleRequests),
+  notices.repeated = {request_queue_.Take(requests_, now),
+                      /*whole_requests=*/true};
+  notices.single = {Strongest(std::move(single), kMaxSingleRequests),
                     /*whole_requests=*/true};
   return notices;
 }
@@ -123,13 +125,14 @@
 crash_notice crash_monitor::TakeNotice(time_point now) {
   attribution_.Expire(now);
   LogBlocked(now);
-  crash_notice notice{attribution_.ChangedSince(taken_at_, now)};
+  part_queue_.Add(attribution_.ChangedSince(taken_at_, now));
   taken_at_ = now;
-  return notice;
+  return {part_queue_.Take(attribution_, now)};
 }
 
-crash_notice crash_monitor::RecentNotice(time_point now) const {
-  return {attribution_.ChangedSince(now - kEvidenceRepeatTime, now)};
+crash_notice crash_monitor::RecentNotice(time_point now) {
+  part_queue_.Add(attribution_.ChangedSince(now - kEvidenceRepeatTime, now));
+  return {part_queue_.Take(attribution_, now)};
 }
 
 void crash_monitor::LogBlockedRequests(time_point now) {
--- a/src/gateway/crash_monitor.h
+++ b/src/gateway/crash_monitor.h
@@ -8,6 +8,7 @@
 
 #include "fireflyslip/catalog.h"
 #include "fireflyslip/retry.h"
+#include "node/evidence_queue.h"
 #include "node/load_report.h"
 
 namespace fireflyslip {
@@ -60,24 +61,26 @@
   /// \brief What has changed since the last call; at most some of it.
   request_notices TakeRequestNotices(time_point now);
   /// \brief What has changed recently, to be sent once more.
-  request_notices RecentRequestNotices(time_point now) const;
+  request_notices RecentRequestNotices(time_point now);
 
-  /// \brief Evidence about parts of prompts that has changed since the last
-  /// call.
+  /// \brief Evidence about parts of prompts that has changed, within the limit
+  /// of bytes; the rest is returned by later calls.
   crash_notice TakeNotice(time_point now);
-  /// \brief Evidence that has changed recently, to be sent once more, because
-  /// datagrams may be lost.
-  crash_notice RecentNotice(time_point now) const;
+  /// \brief The same with what has changed recently, which is sent once more,
+  /// because datagrams may be lost.
+  crash_notice RecentNotice(time_point now);
 
  private:
   void LogBlocked(time_point now);
   void LogBlockedRequests(time_point now);
-  request_notices RequestNoticesSince(time_point since, time_point now) const;
+  request_notices RequestNoticesSince(time_point since, time_point now);
 
   crash_attribution attribution_;
   crash_attribution requests_{RequestCrashPolicy()};
   std::set<request_fingerprint> logged_requests_;
   time_point requests_taken_at_;
+  evidence_queue part_queue_{kPartEvidenceBytesPerSecond};
+  evidence_queue request_queue_{kRequestEvidenceBytesPerSecond};
   std::set<upstream_id> unreachable_;
   std::set<prompt_part> logged_;  // blocked parts
   time_point taken_at_;
--- a/src/node/load_report.cc
+++ b/src/node/load_report.cc
@@ -139,15 +139,15 @@
   return parts;
 }
 
-crash_notice RepeatedCrashes(const crash_attribution& request_crashes,
-                             time_point since,
-                             time_point now) {
+std::vector<crash_evidence> RepeatedCrashes(
+    const crash_attribution& request_crashes,
+    time_point since,
+    time_point now) {
   std::vector<crash_evidence> changed =
       request_crashes.ChangedSince(since, now);
   std::erase_if(changed,
                 [](const crash_evidence& item) { return !IsRepeated(item); });
-  return {Strongest(std::move(changed), kMaxRepeatedRequests),
-          /*whole_requests=*/true};
+  return changed;
 }
 
 std::optional<load_message> DecodeLoadMessage(
--- a/src/node/load_report.h
+++ b/src/node/load_report.h
@@ -50,9 +50,11 @@
 /// Bounds the size of a datagram.
 inline constexpr std::size_t kMaxEvidencePerNotice = 6;
 inline constexpr std::size_t kMaxLoadDatagramBytes = 4096;
-/// Bounds the bytes that requests which crash upstreams may take on the link of
-/// a stager, however many there are.
-inline constexpr std::size_t kMaxRepeatedRequests = 8;
+/// Bytes of evidence that a gateway or stager sends to each receiver.
+inline constexpr double kPartEvidenceBytesPerSecond = 600;
+inline constexpr double kRequestEvidenceBytesPerSecond = 200;
+/// Items that a gateway gets at once when it starts or was cut off.
+inline constexpr std::size_t kMaxInitialEvidence = 24;
 /// Time for which evidence is repeated, because datagrams may be lost.
 inline constexpr duration kEvidenceRepeatTime = seconds(3);
 
@@ -64,11 +66,11 @@
 /// \brief Splits evidence into notices that fit into a datagram each.
 std::vector<crash_notice> SplitNotice(const crash_notice& notice);
 
-/// \brief Requests that were at two crashes or more and whose evidence has
-/// changed; those with the most crashes.
-crash_notice RepeatedCrashes(const crash_attribution& request_crashes,
-                             time_point since,
-                             time_point now);
+/// \brief Evidence about requests that were at two crashes or more.
+std::vector<crash_evidence> RepeatedCrashes(
+    const crash_attribution& request_crashes,
+    time_point since,
+    time_point now);
 
 /// \brief Decodes a datagram; empty if it is malformed.
 std::optional<load_message> DecodeLoadMessage(
--- a/src/retry/crash_attribution.cc
+++ b/src/retry/crash_attribution.cc
@@ -77,7 +77,7 @@
 }
 
 crash_attribution::crash_attribution(crash_policy policy)
-    : policy_(std::move(policy)) {}
+    : policy_(policy) {}
 
 void crash_attribution::AttemptStarted(std::uint64_t request,
                                        crash_id incarnation,
--- a/src/stager/load_publisher.cc
+++ b/src/stager/load_publisher.cc
@@ -26,6 +26,8 @@
 constexpr seconds kSubscriptionLifetime{3};
 /// A longer gap between two subscriptions may be a restart of the gateway.
 constexpr milliseconds kMaxSubscriptionGap{1200};
+/// Interval at which recent evidence of crashes is repeated.
+constexpr milliseconds kEvidenceRepeatInterval{800};
 /// A replica responds to its own VM within a millisecond, even under full load.
 constexpr milliseconds kReadTimeout{500};
 
@@ -99,36 +101,52 @@
   record.sent_us = subscription.sent_us;
   record.interval = subscription.interval;
   crashes_.Expire(now);
-  SendEvidence(may_be_restarted ? time_point() : now - kEvidenceRepeatTime,
-               from);
-  // A gateway may have been cut off in one direction, so all is repeated.
   request_crashes_.Expire(now);
-  SendRequestEvidence(time_point(), from);
+  if (may_be_restarted) {
+    SendNotice({Strongest(crashes_.ChangedSince(time_point(), now),
+                          kMaxInitialEvidence)},
+               from);
+    SendNotice({Strongest(RepeatedCrashes(request_crashes_, time_point(), now),
+                          kMaxInitialEvidence),
+                /*whole_requests=*/true},
+               from);
+  }
 }
 
 void load_publisher::OnCrashNotice(const crash_notice& notice) {
   const time_point now = MonotonicNow();
+  const time_point before = now - duration(1);
   if (notice.whole_requests) {
-    request_crashes_changed_ |= request_crashes_.Merge(notice.evidence, now);
-    return;
-  }
-  if (!crashes_.Merge(notice.evidence, now)) {
-    return;
-  }
-  for (const auto& [vm, subscriber] : subscribers_) {
-    SendEvidence(now - duration(1), subscriber.endpoint);
+    request_crashes_.Merge(notice.evidence, now);
+    request_queue_.Add(RepeatedCrashes(request_crashes_, before, now));
+  } else {
+    crashes_.Merge(notice.evidence, now);
+    part_queue_.Add(crashes_.ChangedSince(before, now));
   }
+  SendEvidence();
 }
 
-void load_publisher::SendEvidence(time_point changed_since,
-                                  const udp::endpoint& to) {
-  SendNotice({crashes_.ChangedSince(changed_since, MonotonicNow())}, to);
+void load_publisher::SendEvidence() {
+  const time_point now = MonotonicNow();
+  const crash_notice parts{part_queue_.Take(crashes_, now)};
+  const crash_notice requests{request_queue_.Take(request_crashes_, now),
+                              /*whole_requests=*/true};
+  for (const auto& [vm, subscriber] : subscribers_) {
+    SendNotice(parts, subscriber.endpoint);
+    SendNotice(requests, subscriber.endpoint);
+  }
 }
 
-void load_publisher::SendRequestEvidence(time_point changed_since,
-                                         const udp::endpoint& to) {
-  SendNotice(RepeatedCrashes(request_crashes_, changed_since, MonotonicNow()),
-             to);
+void load_publisher::RepeatEvidence() {
+  const time_point now = MonotonicNow();
+  if (now - evidence_repeated_at_ < kEvidenceRepeatInterval) {
+    return;
+  }
+  evidence_repeated_at_ = now;
+  part_queue_.Add(crashes_.ChangedSince(now - kEvidenceRepeatTime, now));
+  if (request_queue_.empty()) {
+    request_queue_.Add(RepeatedCrashes(request_crashes_, time_point(), now));
+  }
 }
 
 void load_publisher::SendNotice(const crash_notice& notice,
@@ -157,12 +175,8 @@
     }
     on_load_(load);
     Send(load, false);
-    if (std::exchange(request_crashes_changed_, false)) {
-      for (const auto& [vm, subscriber] : subscribers_) {
-        SendRequestEvidence(request_crashes_sent_at_, subscriber.endpoint);
-      }
-      request_crashes_sent_at_ = MonotonicNow();
-    }
+    RepeatEvidence();
+    SendEvidence();
     timer.expires_after(PollInterval());
     boost::system::error_code ignored;
     co_await timer.async_wait(
--- a/src/stager/load_publisher.h
+++ b/src/stager/load_publisher.h
@@ -10,6 +10,7 @@
 
 #include "fireflyslip/core/result.h"
 #include "fireflyslip/placement/upstream_load.h"
+#include "node/evidence_queue.h"
 #include "node/load_report.h"
 #include "node/node_settings.h"
 #include "platform/engine_client.h"
@@ -47,17 +48,17 @@
   void Send(const upstream_load& load, bool immediately);
   void OnSubscription(const load_subscription& subscription,
                       const boost::asio::ip::udp::endpoint& from);
-  /// \brief Passes evidence on to the subscribers if it is new. That about
-  /// whole requests waits for the next poll and is limited.
+  /// \brief Passes evidence on to the subscribers if it is new, within the
+  /// limit of bytes.
   void OnCrashNotice(const crash_notice& notice);
-  /// \brief Sends the strongest evidence about whole requests that crashed
-  /// upstreams repeatedly.
-  void SendRequestEvidence(time_point changed_since,
-                           const boost::asio::ip::udp::endpoint& to);
+  /// \brief Sends evidence that waits to all subscribers.
+  void SendEvidence();
+  /// \brief Lets recent evidence be sent once more now and then, because
+  /// datagrams may be lost, and that about requests which crash upstreams at
+  /// any time, because a gateway may have been cut off in one direction.
+  void RepeatEvidence();
   void SendNotice(const crash_notice& notice,
                   const boost::asio::ip::udp::endpoint& to);
-  void SendEvidence(time_point changed_since,
-                    const boost::asio::ip::udp::endpoint& to);
 
   boost::asio::io_context& context_;
   const node_settings& settings_;
@@ -77,8 +78,9 @@
   upstream_load last_load_;
   crash_attribution crashes_;
   crash_attribution request_crashes_{RequestCrashPolicy()};
-  bool request_crashes_changed_ = false;  // since they were sent
-  time_point request_crashes_sent_at_;
+  evidence_queue part_queue_{kPartEvidenceBytesPerSecond};
+  evidence_queue request_queue_{kRequestEvidenceBytesPerSecond};
+  time_point evidence_repeated_at_;
 };
 
 }  // namespace fireflyslip
