Believe refusals of an upstream that does not name them

A gateway now notes that an upstream leaves out ids, and sends it requests that must not run twice on new connections, where the first response is certain. The first such refusal still ends with 502. The price is a connection for each booking at such an upstream; others are not affected.

faulty_upstream_test.Booking_UnnamedRefusalsAgain_RetriedFromSecondOn: 502 before, 200 now.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -429,8 +429,11 @@
   }
   // Only on a new connection can a response be told from an earlier one without
   // an id.
-  const duration max_idle = metadata_.attempt_id.empty() ? duration(0)
-                            : repeatable ? duration(kRepeatableMaxIdle)
+  const bool only_first_is_certain =
+      metadata_.attempt_id.empty() ||
+      (!repeatable && !gateway_.NamesAllResponses(upstream));
+  const duration max_idle = only_first_is_certain ? duration(0)
+                            : repeatable          ? duration(kRepeatableMaxIdle)
                                          : duration(kNonIdempotentMaxIdle);
   canceller_ = std::make_shared<call_canceller>();
   waits_for_ = "response";
@@ -499,6 +502,9 @@
     report.detail = "answer to another request";
     co_return report;
   }
+  if (response.attempt_id.empty() && !metadata_.attempt_id.empty()) {
+    gateway_.RecordUnnamedResponse(upstream);
+  }
   // A response that does not name its request may be an earlier one once more.
   if (response.attempt_id.empty() && reader->connection_reused()) {
     ++history_.may_have_run;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -180,6 +180,13 @@
     }
   }
   upstreams_ = std::move(upstreams);
+  std::set<std::string> addresses;
+  for (const auto& [id, entry] : *upstreams_) {
+    if (unnamed_responses_.contains(entry.address)) {
+      addresses.insert(entry.address);
+    }
+  }
+  unnamed_responses_ = std::move(addresses);
   monitored_ = std::make_shared<const upstream_map>(
       SelectMonitored(*upstreams_, settings_.vm, settings_.data_centre, {}));
   gateway_count_.SetUpstreams(*upstreams_, *monitored_);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "fireflyslip/catalog.h"
@@ -73,6 +74,15 @@
   double Random() { return random_.Fraction(); }
   crash_monitor& crashes() { return crashes_; }
   upstream_probe& probe() { return probe_; }
+  /// \brief Notes that responses of the upstream do not always name their
+  /// request, so that only the first one on a connection can be told from an
+  /// earlier one.
+  void RecordUnnamedResponse(const upstream_entry& upstream) {
+    unnamed_responses_.insert(upstream.address);
+  }
+  bool NamesAllResponses(const upstream_entry& upstream) const {
+    return !unnamed_responses_.contains(upstream.address);
+  }
   /// \brief Memory of all responses that are being received.
   const std::shared_ptr<memory_budget>& response_memory() const {
     return response_memory_;
@@ -115,6 +125,7 @@
   gateway_count_estimate gateway_count_;
   std::map<std::string, upstream_id> upstreams_by_address_;
   std::map<service_name, retry_window> retry_budgets_;
+  std::set<std::string> unnamed_responses_;  // addresses that are listed
   crash_monitor crashes_;
   upstream_probe probe_;
   std::optional<time_point> keys_current_as_of_;
--- a/tests/gateway/faulty_upstream_test.cc
+++ b/tests/gateway/faulty_upstream_test.cc
@@ -344,6 +344,22 @@
   EXPECT_EQ(CallStatus(MakeRequest("/book/1")), 200);
 }
 
+// Guards against an unknown outcome for each booking that an upstream refuses
+// without naming it, on a connection that has carried named responses.
+TEST_F(faulty_upstream_test, Booking_UnnamedRefusalsAgain_RetriedFromSecondOn) {
+  Configure();
+  AddScriptedUpstream(
+      {{Success("id0")}, {Refusal("")}, {Success("id2")}, {Refusal("")}},
+      wrote_);
+  AddUpstream(Echo());
+  AllowRetries();
+  EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id0")), 200);
+  EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id1")), 502);
+  EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id2")), 200);
+  EXPECT_EQ(CallStatus(MakeNumbered("/book/1", "id3")), 200);
+  EXPECT_EQ(wrote_, 4U);
+}
+
 // Guards against "not run" for a booking that ran: the upstream fails it with a
 // status that stands for "not run", but does not state so.
 TEST_F(faulty_upstream_test, Booking_FailsWithRefusalStatus_OutcomeUnknown) {
