--- a/include/fireflyslip/retry/crash_attribution.h
+++ b/include/fireflyslip/retry/crash_attribution.h
@@ -124,6 +124,13 @@
   /// then, because blocked requests cause no other event.
   void Expire(time_point now);
 
+  /// \brief Sets the crashes that have another cause, which do not count
+  /// against parts.
+  void SetExplained(std::set<crash_id> crashes);
+
+  /// \brief Crashes of all blocked parts.
+  std::set<crash_id> CrashesOfBlocked() const;
+
   /// \brief Evidence that this process learned or changed later than `since`.
   std::vector<crash_evidence> ChangedSince(time_point since,
                                            time_point now) const;
@@ -220,6 +227,7 @@
   std::map<prompt_part, time_point> begun_;
   std::map<prompt_part, time_point> begun_earlier_;
   std::set<prompt_part> blocked_;
+  std::set<crash_id> explained_elsewhere_;
 };
 
 }  // namespace fireflyslip
--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -43,7 +43,7 @@
 
 void crash_monitor::AttemptSurvived(std::uint64_t request, time_point now) {
   requests_.AttemptBegun(request, now);
-  LogBlockedRequests(now);
+  UpdateRequests(now);
 }
 
 void crash_monitor::AttemptEnded(std::uint64_t request,
@@ -55,7 +55,7 @@
       request, end == attempt_end::kSilent ? attempt_end::kResponse : end, now);
   LogBlocked(now);
   requests_.AttemptEnded(request, end, now);
-  LogBlockedRequests(now);
+  UpdateRequests(now);
 }
 
 void crash_monitor::OnReachability(const upstream_entry& upstream,
@@ -70,7 +70,7 @@
     attribution_.UpstreamLost(crash, now);
     LogBlocked(now);
     requests_.UpstreamLost(crash, now);
-    LogBlockedRequests(now);
+    UpdateRequests(now);
   }
 }
 
@@ -81,13 +81,13 @@
   LogLine("event=upstream_gone source=" + std::string(source) + " upstream=" +
           upstream.id.value() + " crash=" + std::to_string(crash));
   requests_.UpstreamLost(crash, now);
-  LogBlockedRequests(now);
+  UpdateRequests(now);
 }
 
 void crash_monitor::OnNotice(const crash_notice& notice, time_point now) {
   if (notice.whole_requests) {
     if (requests_.Merge(notice.evidence, now)) {
-      LogBlockedRequests(now);
+      UpdateRequests(now);
     }
   } else if (attribution_.Merge(notice.evidence, now)) {
     LogBlocked(now);
@@ -97,7 +97,7 @@
 crash_monitor::request_notices crash_monitor::TakeRequestNotices(
     time_point now) {
   requests_.Expire(now);
-  LogBlockedRequests(now);
+  UpdateRequests(now);
   request_notices notices = RequestNoticesSince(requests_taken_at_, now);
   requests_taken_at_ = now;
   return notices;
@@ -135,7 +135,11 @@
   return {part_queue_.Take(attribution_, now)};
 }
 
-void crash_monitor::LogBlockedRequests(time_point now) {
+void crash_monitor::UpdateRequests(time_point now) {
+  // A sound request may share all parts of its prompt with one that crashes
+  // upstreams.
+  attribution_.SetExplained(requests_.CrashesOfBlocked());
+  LogBlocked(now);
   if (requests_.blocked() == logged_requests_) {
     return;
   }
--- a/src/gateway/crash_monitor.h
+++ b/src/gateway/crash_monitor.h
@@ -72,7 +72,9 @@
 
  private:
   void LogBlocked(time_point now);
-  void LogBlockedRequests(time_point now);
+  /// \brief Takes what blocked requests explain out of the evidence against
+  /// parts, and logs changes.
+  void UpdateRequests(time_point now);
   request_notices RequestNoticesSince(time_point since, time_point now);
 
   crash_attribution attribution_;
--- a/src/retry/crash_attribution.cc
+++ b/src/retry/crash_attribution.cc
@@ -76,8 +76,7 @@
   return policy;
 }
 
-crash_attribution::crash_attribution(crash_policy policy)
-    : policy_(policy) {}
+crash_attribution::crash_attribution(crash_policy policy) : policy_(policy) {}
 
 void crash_attribution::AttemptStarted(std::uint64_t request,
                                        crash_id incarnation,
@@ -206,6 +205,21 @@
   return changed;
 }
 
+void crash_attribution::SetExplained(std::set<crash_id> crashes) {
+  if (crashes != explained_elsewhere_) {
+    explained_elsewhere_ = std::move(crashes);
+    UpdateBlocked();
+  }
+}
+
+std::set<crash_id> crash_attribution::CrashesOfBlocked() const {
+  std::set<crash_id> crashes;
+  for (const prompt_part part : blocked_) {
+    crashes.merge(UnclearedCrashes(records_.at(part)));
+  }
+  return crashes;
+}
+
 std::vector<crash_evidence> crash_attribution::ChangedSince(
     time_point since,
     time_point now) const {
@@ -454,8 +468,13 @@
 void crash_attribution::UpdateBlocked() {
   blocked_.clear();
   std::map<prompt_part, std::set<crash_id>> unexplained;
+  const auto is_explained = [this](crash_id crash) {
+    return explained_elsewhere_.contains(crash);
+  };
   for (const auto& [part, known] : records_) {
-    unexplained[part] = UnclearedCrashes(known);
+    std::set<crash_id> crashes = UnclearedCrashes(known);
+    std::erase_if(crashes, is_explained);
+    unexplained[part] = std::move(crashes);
   }
   const auto may_block = [this](const auto& item) {
     return item.second.size() >= policy_.blocking_events;
@@ -470,7 +489,11 @@
       event_of[crash] = i;
     }
   }
-  std::set<crash_id> explained;
+  for (crash_event& event : events) {
+    event.unexplained -= static_cast<std::size_t>(std::count_if(
+        event.crashes.begin(), event.crashes.end(), is_explained));
+  }
+  std::set<crash_id> explained = explained_elsewhere_;
   // Events, and whether the part has never been answered.
   using suspicion = std::pair<std::size_t, bool>;
   for (;;) {
--- a/tests/gateway/crash_monitor_test.cc
+++ b/tests/gateway/crash_monitor_test.cc
@@ -74,5 +74,22 @@
             kBytesPerSecond * kSeconds);
 }
 
+// Guards against refusing sound requests that share the parts of their prompt
+// with a request that crashes upstreams.
+TEST_F(crash_monitor_test, Request_CrashesUpstreams_ItsPartsNotBlocked) {
+  constexpr prompt_part kShared = 7;
+  constexpr request_fingerprint kCrashing = 70;
+  for (std::uint64_t crash = 1; crash <= 4; ++crash) {
+    upstream_entry upstream;
+    upstream.id = upstream_id("i-" + std::to_string(crash));
+    monitor_.AttemptStarted(crash, upstream, {kShared}, kCrashing);
+    monitor_.AttemptEnded(crash, attempt_end::kInterrupted, now_);
+    monitor_.OnReachability(upstream, false, now_ + milliseconds(20));
+    now_ += std::chrono::seconds(1);
+  }
+  EXPECT_TRUE(monitor_.IsBlocked(kCrashing));
+  EXPECT_FALSE(monitor_.IsBlocked(std::vector<prompt_part>{kShared}));
+}
+
 }  // namespace
 }  // namespace fireflyslip
