--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "fireflyslip/core/hash.h"
 #include "fireflyslip/runtime.h"
 #include "gateway/gateway.h"
 
@@ -38,6 +39,9 @@
 /// upstream in trouble may send bytes without end.
 constexpr std::size_t kMaxResponseBytes = 8UL << 20;
 constexpr std::size_t kMaxEventBytes = 1UL << 20;
+/// A stream that goes on for this time after its first event has not crashed
+/// its upstream.
+constexpr milliseconds kSurvivalTime{500};
 /// Longest idle time of a connection for a non-idempotent request: the upstream
 /// may be about to close an older one, which would leave the outcome unknown.
 constexpr milliseconds kNonIdempotentMaxIdle{800};
@@ -127,6 +131,8 @@
     }
   });
   gateway_.RetryBudget(service_).CountRequest(received_at_);
+  content_ = ContentFingerprint();
+  suspect_ = gateway_.crashes().IsSuspect(content_);
   attempt_report previous;
   for (;;) {
     const bool placed = co_await AwaitPlacement();
@@ -145,12 +151,15 @@
       break;
     }
     gateway_.crashes().AttemptStarted(id_, placement_->upstream,
-                                      metadata_.shared_prompt_parts);
+                                      metadata_.shared_prompt_parts, content_);
     attempt_report report = co_await RunAttempt();
     if (report.outcome != attempt_outcome::kNotSent) {
       retry_taken_at_.reset();
     }
-    gateway_.crashes().AttemptEnded(id_, report.interrupted, MonotonicNow());
+    if (report.end != attempt_end::kResponse) {
+      gateway_.probe().Start(placement_->upstream);
+    }
+    gateway_.crashes().AttemptEnded(id_, report.end, MonotonicNow());
     gateway_.Handle(dispatcher::attempt_completed{id_, report.status});
     if (report.delivered) {
       break;
@@ -161,9 +170,12 @@
       break;
     }
     last_failure_ = report.detail;
-    const retry_decision decision = DecideRetry(
-        *route_, history_, report.outcome,
-        [this] { return RemainingTime() > kMinAttemptTime && TakeRetry(); });
+    // Each try of a request that crashes upstreams costs one more of them.
+    const bool may_crash = suspect_ && report.end == attempt_end::kInterrupted;
+    const retry_decision decision =
+        DecideRetry(*route_, history_, report.outcome, [&] {
+          return !may_crash && RemainingTime() > kMinAttemptTime && TakeRetry();
+        });
     if (decision != retry_decision::kRetryElsewhere) {
       co_await SendFailure(decision, report);
       break;
@@ -289,6 +301,7 @@
       [weak = weak_from_this()](const boost::system::error_code& code) {
         const auto shared_this = weak.lock();
         if (!code && shared_this) {
+          shared_this->deadline_delay_ = -shared_this->RemainingTime();
           shared_this->Cancel(shared_this->limited_by_stop_
                                   ? cancel_cause::kGatewayStopping
                                   : cancel_cause::kDeadlinePassed);
@@ -298,7 +311,8 @@
 
 bool exchange::IsBlocked() const {
   return !stream_started_ &&
-         gateway_.crashes().IsBlocked(metadata_.shared_prompt_parts);
+         (gateway_.crashes().IsBlocked(content_) ||
+          gateway_.crashes().IsBlocked(metadata_.shared_prompt_parts));
 }
 
 bool exchange::TakeRetry() {
@@ -346,13 +360,14 @@
   submission.excluded = excluded_upstreams_;
   submission.version = stream_started_ ? stream_version_ : std::nullopt;
   gateway_.Submit(std::move(submission));
+  waits_for_ = "placement";
   while (!placement_ && !rejection_ && cancel_cause_ == cancel_cause::kNone) {
     boost::system::error_code ignored;
     placement_event_.expires_at(boost::asio::steady_timer::time_point::max());
     co_await placement_event_.async_wait(
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
   }
-  // The part may have been blocked while the request was queued.
+  // It may have been blocked while the request was queued.
   if (placement_ && cancel_cause_ == cancel_cause::kNone && IsBlocked()) {
     gateway_.Handle(
         dispatcher::attempt_completed{id_, attempt_status::kAbandoned});
@@ -414,10 +429,14 @@
   }
   // Only on a new connection can a response be told from an earlier one without
   // an id.
-  const duration max_idle = metadata_.attempt_id.empty() ? duration(0)
-                            : repeatable ? duration(kRepeatableMaxIdle)
+  const bool only_first_is_certain =
+      metadata_.attempt_id.empty() ||
+      (!repeatable && !gateway_.NamesAllResponses(upstream));
+  const duration max_idle = only_first_is_certain ? duration(0)
+                            : repeatable          ? duration(kRepeatableMaxIdle)
                                          : duration(kNonIdempotentMaxIdle);
   canceller_ = std::make_shared<call_canceller>();
+  waits_for_ = "response";
   http_request message = MakeUpstreamRequest();
   const auto opened = co_await gateway_.upstream_client().Open(
       *endpoint, std::move(message), read_timeout, max_idle, canceller_,
@@ -483,6 +502,9 @@
     report.detail = "answer to another request";
     co_return report;
   }
+  if (response.attempt_id.empty() && !metadata_.attempt_id.empty()) {
+    gateway_.RecordUnnamedResponse(upstream);
+  }
   // A response that does not name its request may be an earlier one once more.
   if (response.attempt_id.empty() && reader->connection_reused()) {
     ++history_.may_have_run;
@@ -550,6 +572,7 @@
   if (auto failed = CheckResponse(response)) {
     Release(*reader, /*delivered=*/false);
     if (failed->outcome == attempt_outcome::kRanAndFailed) {
+      gateway_.crashes().AttemptSurvived(id_, MonotonicNow());
       failed->upstream_response = std::move(response);
     }
     co_return *std::move(failed);
@@ -557,11 +580,13 @@
   Release(*reader, /*delivered=*/true);
   attempt_report report;
   gateway_.crashes().AttemptBegun(id_, MonotonicNow());
+  gateway_.crashes().AttemptSurvived(id_, MonotonicNow());
   response_delay_ = MonotonicNow() - received_at_;
   status_ = response.status;
   outcome_ = "answered";
   report.delivered = true;
   response_sent_ = true;
+  MarkWriting();
   co_await client_.Send(std::move(response));
   co_return report;
 }
@@ -610,6 +635,7 @@
   // Only complete events count as progress: a stalled upstream may still send a
   // byte now and then.
   time_point progress_at = MonotonicNow();
+  std::optional<time_point> begun_at;
   bool progressed = false;
   while (!reader->complete()) {
     const time_point started_at = MonotonicNow();
@@ -633,6 +659,10 @@
     }
     gateway_.Handle(dispatcher::response_begun{id_});
     gateway_.crashes().AttemptBegun(id_, MonotonicNow());
+    begun_at = begun_at.value_or(MonotonicNow());
+    if (MonotonicNow() - *begun_at >= kSurvivalTime) {
+      gateway_.crashes().AttemptSurvived(id_, MonotonicNow());
+    }
     const bool written =
         co_await WriteEvents(reader->head(), std::move(events));
     if (!written) {
@@ -653,10 +683,12 @@
     report.detail = "stream ended within an event or before the first one";
     co_return report;
   }
+  gateway_.crashes().AttemptSurvived(id_, MonotonicNow());
   Release(*reader, /*delivered=*/true);
   report.delivered = true;
   outcome_ = "answered";
   response_sent_ = true;
+  MarkWriting();
   co_await client_.End();
   co_return report;
 }
@@ -690,6 +722,7 @@
 awaitable<void> exchange::SendFailure(retry_decision decision,
                                       const attempt_report& report) {
   response_sent_ = true;
+  MarkWriting();
   if (stream_started_) {
     // Without the final chunk, the client detects the truncated body.
     client_.Abort();
@@ -712,7 +745,9 @@
 
 awaitable<void> exchange::SendBlocked() {
   const error problem{error_kind::kRequestCrashesUpstream,
-                      "a part of the prompt crashes upstreams"};
+                      gateway_.crashes().IsBlocked(content_)
+                          ? "the request crashes upstreams"
+                          : "a part of the prompt crashes upstreams"};
   co_await SendProblem(problem);
 }
 
@@ -739,9 +774,17 @@
   status_ = response.status;
   outcome_ = std::string(known.name);
   response_sent_ = true;
+  MarkWriting();
   co_await client_.Send(std::move(response));
 }
 
+void exchange::MarkWriting() {
+  if (!deadline_delay_) {
+    waits_for_ = "write";
+  }
+  write_started_at_ = MonotonicNow();
+}
+
 awaitable<void> exchange::SendCancellation() {
   if (cancel_cause_ == cancel_cause::kClientDisconnected) {
     outcome_ = "client_left";
@@ -791,6 +834,9 @@
   report.detail = problem.detail;
   if (cancel_cause_ != cancel_cause::kNone) {
     report.status = attempt_status::kAbandoned;
+    report.end = cancel_cause_ == cancel_cause::kDeadlinePassed
+                     ? attempt_end::kSilent
+                     : attempt_end::kResponse;
     return report;
   }
   if (problem.kind == error_kind::kNoUpstream) {
@@ -802,8 +848,9 @@
   report.status =
       timed_out ? attempt_status::kUnreachable : attempt_status::kFailed;
   // An upstream that sends too much has not crashed.
-  report.interrupted =
-      !timed_out && problem.kind != error_kind::kResponseTooLarge;
+  if (problem.kind != error_kind::kResponseTooLarge) {
+    report.end = timed_out ? attempt_end::kSilent : attempt_end::kInterrupted;
+  }
   return report;
 }
 
@@ -867,6 +914,17 @@
   return std::max(1.0, prompt + output);
 }
 
+request_fingerprint exchange::ContentFingerprint() const {
+  request_fingerprint hash = StableHash(request_.method);
+  for (const std::string_view item :
+       {HostOf(request_), std::string_view(request_.target),
+        std::string_view(workspace_.value()),
+        std::string_view(*request_.shared_body)}) {
+    hash = StableHash(item, hash);
+  }
+  return hash;
+}
+
 void exchange::RecordFailedTry(const attempt_report& report) {
   failed_tries_ += failed_tries_.empty() ? "" : ",";
   failed_tries_ += upstream_ + "/" + std::string(ToString(report.outcome));
@@ -899,6 +957,15 @@
   line += " placed_ms=" + Milliseconds(placement_delay_);
   line += " answered_ms=" + Milliseconds(response_delay_);
   line += " total_ms=" + Milliseconds(total);
+  line += " waits_for=" + std::string(waits_for_);
+  line += " write_ms=";
+  line += write_started_at_ ? Milliseconds(MonotonicNow() - *write_started_at_)
+                            : "-";
+  line += " timeout_ms=" + Milliseconds(timeout_);
+  line += " route_timeout_ms=";
+  line += route_ == nullptr ? "-" : Milliseconds(route_->timeout);
+  line += " deadline_delay_ms=" + Milliseconds(deadline_delay_);
+  line += " content=" + std::to_string(content_);
   line += " events=" + std::to_string(cursor_.forwarded_events());
   line +=
       " configuration=" + (catalog_ ? std::to_string(catalog_->version) : "-");
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -7,10 +7,12 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "fireflyslip/catalog.h"
 #include "fireflyslip/http.h"
 #include "fireflyslip/placement.h"
+#include "gateway/crash_monitor.h"
 #include "gateway/stream_cursor.h"
 #include "platform/call_codec.h"
 
@@ -54,8 +56,8 @@
     bool delivered = false;
     attempt_outcome outcome = attempt_outcome::kMayHaveRun;
     attempt_status status = attempt_status::kSucceeded;
-    bool interrupted = false;  // the upstream ended the connection
-    bool refused = false;      // by the addressed upstream, not by another one
+    attempt_end end = attempt_end::kResponse;
+    bool refused = false;  // by the addressed upstream, not by another one
     std::string detail;
     std::optional<http_response> upstream_response;  // with an error status
     int response_status = 0;  // of any response to the request; 0 for none
@@ -69,8 +71,8 @@
   std::optional<error> CheckDraining();
   void Cancel(cancel_cause cause);
   void StartDeadlineTimer();
-  /// \brief Whether a part of the prompt crashes upstreams. A stream that has
-  /// begun is not affected.
+  /// \brief Whether the request or a part of its prompt crashes upstreams. A
+  /// stream that has begun is not affected.
   bool IsBlocked() const;
   /// \brief Takes one retry from the budget of the service.
   bool TakeRetry();
@@ -119,6 +121,10 @@
   /// \brief Usual time until the response is complete; empty if unknown.
   std::optional<duration> ExpectedDuration() const;
   double EstimatedCost() const;
+  /// \brief Hash of what is the same when a caller sends the request again.
+  request_fingerprint ContentFingerprint() const;
+  /// \brief Notes for the log that the end of a response is being written.
+  void MarkWriting();
   /// \brief Adds a try without a delivered response to the log line.
   void RecordFailedTry(const attempt_report& report);
   void LogOutcome();
@@ -150,11 +156,16 @@
   std::optional<time_point> retry_taken_at_;  // until the retry is sent
   attempt_history history_;
   std::set<upstream_id> excluded_upstreams_;
+  request_fingerprint content_ = 0;
+  bool suspect_ = false;  // upstreams crashed under the request before
   stream_cursor cursor_;
   bool stream_started_ = false;
   std::optional<std::uint64_t> stream_version_;
 
   // Fields of the log line.
+  std::string_view waits_for_ = "route";    // until the response is written
+  std::optional<duration> deadline_delay_;  // of the timer, if it has expired
+  std::optional<time_point> write_started_at_;  // of the last response
   int status_ = 0;
   std::string outcome_;
   std::string upstream_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "fireflyslip/core/rendezvous.h"
 #include "gateway/exchange.h"
 #include "node/load_report.h"
 
@@ -29,6 +30,8 @@
 /// Interval of events without which the dispatcher assumes a pause.
 constexpr duration kObservationInterval =
     version_targets::kMaxObservationGap / 2;
+/// Delay of the event loop from which it is logged.
+constexpr milliseconds kLoggedLoopDelay{250};
 /// Fraction of the revocation timeout after which keys are stale; the rest
 /// allows for the clock resolution.
 constexpr double kKeyLifetimeFraction = 0.96;
@@ -114,13 +117,18 @@
               [this](http_request request, response_writer& writer) {
                 return Serve(std::move(request), writer);
               }),
-      report_socket_(context) {
+      report_socket_(context),
+      probe_(context, [this](const upstream_entry& upstream) {
+        counters_.Count("upstreams_lost_total", {{"source", "probe"}});
+        crashes_.OnUpstreamGone(upstream, "probe", MonotonicNow());
+      }) {
   timers_.SubscribePeriodic(
       kPruneInterval, [this] { upstream_client_.PruneIdleConnections(); });
   timers_.SubscribePeriodic(kSubscribeInterval,
                             [this] { SubscribeToReports(); });
   timers_.SubscribePeriodic(kCrashNoticeInterval, [this] {
     SendToStagers(crashes_.TakeNotice(MonotonicNow()));
+    SendRequestNotices(crashes_.TakeRequestNotices(MonotonicNow()));
   });
   timers_.SubscribePeriodic(kObservationInterval, [this] { Observe(); });
 }
@@ -159,8 +167,12 @@
   if (upstreams_) {
     for (const auto& [id, entry] : *upstreams_) {
       const auto found = upstreams->find(id);
-      if (found == upstreams->end() || found->second.draining ||
-          found->second.started_ms != entry.started_ms) {
+      const bool gone = found == upstreams->end() ||
+                        found->second.started_ms != entry.started_ms;
+      if (gone && !entry.draining) {
+        crashes_.OnUpstreamGone(entry, "list", MonotonicNow());
+      }
+      if (gone || found->second.draining) {
         if (const auto endpoint = ParseHttpEndpoint(entry.address)) {
           upstream_client_.CloseIdleConnections(*endpoint);
         }
@@ -168,6 +180,13 @@
     }
   }
   upstreams_ = std::move(upstreams);
+  std::set<std::string> addresses;
+  for (const auto& [id, entry] : *upstreams_) {
+    if (unnamed_responses_.contains(entry.address)) {
+      addresses.insert(entry.address);
+    }
+  }
+  unnamed_responses_ = std::move(addresses);
   monitored_ = std::make_shared<const upstream_map>(
       SelectMonitored(*upstreams_, settings_.vm, settings_.data_centre, {}));
   gateway_count_.SetUpstreams(*upstreams_, *monitored_);
@@ -330,7 +349,57 @@
   }
 }
 
+void gateway::SendRequestNotices(
+    const crash_monitor::request_notices& notices) {
+  SendToStagers(notices.repeated);
+  SendToCollectors(notices.single);
+}
+
+void gateway::SendToCollectors(const crash_notice& notice) {
+  if (!upstreams_ || !report_socket_.is_open()) {
+    return;
+  }
+  std::map<udp::endpoint, crash_notice> by_stager;
+  for (const crash_evidence& evidence : notice.evidence) {
+    const std::string key = std::to_string(evidence.part);
+    using choice = std::pair<std::uint64_t, const upstream_entry*>;
+    std::map<data_centre_id, choice> collectors;
+    for (const auto& [id, entry] : *upstreams_) {
+      if (entry.has_engine && !entry.draining) {
+        choice& best = collectors[entry.data_centre];
+        best = std::max(best, {RendezvousScore(key, id.value()), &entry});
+      }
+    }
+    for (const auto& [data_centre, best] : collectors) {
+      if (const auto endpoint = StagerEndpoint(*best.second)) {
+        crash_notice& collected = by_stager[*endpoint];
+        collected.whole_requests = notice.whole_requests;
+        collected.evidence.push_back(evidence);
+      }
+    }
+  }
+  for (const auto& [endpoint, collected] : by_stager) {
+    for (const crash_notice& part : SplitNotice(collected)) {
+      const std::vector<std::uint8_t> datagram = EncodeLoadMessage(part);
+      boost::system::error_code ignored;  // repeated with the subscriptions
+      report_socket_.send_to(boost::asio::buffer(datagram), endpoint, 0,
+                             ignored);
+    }
+  }
+}
+
 void gateway::Observe() {
+  const time_point now = MonotonicNow();
+  const duration late =
+      observed_at_ ? now - *observed_at_ - kObservationInterval : duration(0);
+  observed_at_ = now;
+  counters_.ObserveSeconds("event_loop_delay_seconds", {}, ToSeconds(late));
+  if (late >= kLoggedLoopDelay) {
+    LogLine("event=event_loop_delayed delay_ms=" +
+            std::to_string(late / milliseconds(1)) +
+            " requests=" + std::to_string(exchanges_.size()) +
+            " waiting=" + std::to_string(dispatcher_.core().waiting()));
+  }
   Handle(tick{});
   const bool outage = dispatcher_.core().IsPlatformOutage(MonotonicNow());
   if (outage != platform_outage_) {
@@ -363,6 +432,7 @@
                            0, ignored);
   }
   SendToStagers(crashes_.RecentNotice(MonotonicNow()));
+  SendRequestNotices(crashes_.RecentRequestNotices(MonotonicNow()));
 }
 
 void gateway::Apply(const dispatcher::action& action) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "fireflyslip/catalog.h"
@@ -14,6 +15,7 @@
 #include "fireflyslip/placement.h"
 #include "fireflyslip/runtime.h"
 #include "gateway/crash_monitor.h"
+#include "gateway/upstream_probe.h"
 #include "node/node_settings.h"
 
 namespace fireflyslip {
@@ -71,6 +73,16 @@
   double RetryAllowance() const;
   double Random() { return random_.Fraction(); }
   crash_monitor& crashes() { return crashes_; }
+  upstream_probe& probe() { return probe_; }
+  /// \brief Notes that responses of the upstream do not always name their
+  /// request, so that only the first one on a connection can be told from an
+  /// earlier one.
+  void RecordUnnamedResponse(const upstream_entry& upstream) {
+    unnamed_responses_.insert(upstream.address);
+  }
+  bool NamesAllResponses(const upstream_entry& upstream) const {
+    return !unnamed_responses_.contains(upstream.address);
+  }
   /// \brief Memory of all responses that are being received.
   const std::shared_ptr<memory_budget>& response_memory() const {
     return response_memory_;
@@ -83,6 +95,11 @@
   void SubscribeToReports();
   void OnLoadReport(const load_report& report);
   void SendToStagers(const crash_notice& notice);
+  void SendRequestNotices(const crash_monitor::request_notices& notices);
+  /// \brief Sends evidence about each request to one stager of each data
+  /// centre, which follows from the request, so that all gateways choose the
+  /// same ones.
+  void SendToCollectors(const crash_notice& notice);
   std::optional<boost::asio::ip::udp::endpoint> StagerEndpoint(
       const upstream_entry& upstream) const;
   /// \brief Lets the dispatcher observe that this process runs.
@@ -108,11 +125,14 @@
   gateway_count_estimate gateway_count_;
   std::map<std::string, upstream_id> upstreams_by_address_;
   std::map<service_name, retry_window> retry_budgets_;
+  std::set<std::string> unnamed_responses_;  // addresses that are listed
   crash_monitor crashes_;
+  upstream_probe probe_;
   std::optional<time_point> keys_current_as_of_;
   std::optional<time_point> answer_by_;
   dispatch_id next_dispatch_ = 1;
-  bool platform_outage_ = false;  // already logged
+  bool platform_outage_ = false;           // already logged
+  std::optional<time_point> observed_at_;  // last
 };
 
 }  // namespace fireflyslip
--- a/src/stager/load_publisher.h
+++ b/src/stager/load_publisher.h
@@ -10,6 +10,7 @@
 
 #include "fireflyslip/core/result.h"
 #include "fireflyslip/placement/upstream_load.h"
+#include "node/evidence_queue.h"
 #include "node/load_report.h"
 #include "node/node_settings.h"
 #include "platform/engine_client.h"
@@ -47,10 +48,17 @@
   void Send(const upstream_load& load, bool immediately);
   void OnSubscription(const load_subscription& subscription,
                       const boost::asio::ip::udp::endpoint& from);
-  /// \brief Passes evidence on to the subscribers if it is new.
+  /// \brief Passes evidence on to the subscribers if it is new, within the
+  /// limit of bytes.
   void OnCrashNotice(const crash_notice& notice);
-  void SendEvidence(time_point changed_since,
-                    const boost::asio::ip::udp::endpoint& to);
+  /// \brief Sends evidence that waits to all subscribers.
+  void SendEvidence();
+  /// \brief Lets recent evidence be sent once more now and then, because
+  /// datagrams may be lost, and that about requests which crash upstreams at
+  /// any time, because a gateway may have been cut off in one direction.
+  void RepeatEvidence();
+  void SendNotice(const crash_notice& notice,
+                  const boost::asio::ip::udp::endpoint& to);
 
   boost::asio::io_context& context_;
   const node_settings& settings_;
@@ -69,6 +77,10 @@
   bool load_pending_ = false;
   upstream_load last_load_;
   crash_attribution crashes_;
+  crash_attribution request_crashes_{RequestCrashPolicy()};
+  evidence_queue part_queue_{kPartEvidenceBytesPerSecond};
+  evidence_queue request_queue_{kRequestEvidenceBytesPerSecond};
+  time_point evidence_repeated_at_;
 };
 
 }  // namespace fireflyslip
--- a/tests/node/load_report_test.cc
+++ b/tests/node/load_report_test.cc
@@ -88,5 +88,21 @@
   }
 }
 
+// Guards against evidence about whole requests that is taken for evidence about
+// parts of prompts.
+TEST_F(load_report_test, RequestCrashNotice_Encoded_DecodesEqual) {
+  crash_notice notice;
+  notice.whole_requests = true;
+  for (std::uint64_t part = 1; part <= 8; ++part) {
+    notice.evidence.push_back({part, false, {{1, {false, seconds(3)}}}, {}});
+  }
+  const std::vector<crash_notice> parts = SplitNotice(notice);
+  ASSERT_EQ(parts.size(), 2U);
+  for (const crash_notice& part : parts) {
+    EXPECT_TRUE(part.whole_requests);
+    EXPECT_EQ(DecodeLoadMessage(EncodeLoadMessage(part)), load_message(part));
+  }
+}
+
 }  // namespace
 }  // namespace fireflyslip
