Serve requests only in the regions of their route and workspace

Each placement, retries and resumed streams included, is limited to the regions that route and workspace have in common, by the configuration at arrival and by the newest one. A request whose regions have no replica is refused at once.

--- a/include/fireflyslip/catalog.h
+++ b/include/fireflyslip/catalog.h
@@ -9,6 +9,7 @@
 #include "fireflyslip/catalog/deployment.h"
 #include "fireflyslip/catalog/pending_confirmations.h"
 #include "fireflyslip/catalog/read_backoff.h"
+#include "fireflyslip/catalog/region_restriction.h"
 #include "fireflyslip/catalog/relay_selector.h"
 #include "fireflyslip/catalog/route_table.h"
 #include "fireflyslip/catalog/store_position.h"
--- a/include/fireflyslip/catalog/deployment.h
+++ b/include/fireflyslip/catalog/deployment.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "fireflyslip/catalog/region_restriction.h"
 #include "fireflyslip/catalog/route_table.h"
 #include "fireflyslip/core/ids.h"
 #include "fireflyslip/core/time.h"
@@ -59,7 +60,8 @@
 /// \brief The workspace that an API key belongs to.
 struct workspace_grant {
   workspace_id workspace;
-  std::optional<int> priority;  ///< Overrides the priority of the route.
+  std::optional<int> priority;      ///< Overrides the priority of the route.
+  region_restriction regions = {};  ///< In addition to that of the route.
 
   auto operator<=>(const workspace_grant&) const = default;
 };
--- a/include/fireflyslip/catalog/route_table.h
+++ b/include/fireflyslip/catalog/route_table.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "fireflyslip/catalog/region_restriction.h"
 #include "fireflyslip/core/ids.h"
 #include "fireflyslip/core/time.h"
 
@@ -40,6 +41,7 @@
   duration timeout = {};
   duration target_latency = {};
   duration target_gap = {};  ///< Maximum time between events of a stream.
+  region_restriction regions;
   std::vector<weighted_service> services;  ///< Not empty.
 
   bool operator==(const route&) const = default;
--- a/include/fireflyslip/placement/dispatcher.h
+++ b/include/fireflyslip/placement/dispatcher.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "fireflyslip/catalog/region_restriction.h"
 #include "fireflyslip/catalog/upstream_registry.h"
 #include "fireflyslip/catalog/version_targets.h"
 #include "fireflyslip/core/decision_core.h"
@@ -64,6 +65,7 @@
     time_point response_due;     ///< Latest time for the first response byte.
     time_point client_deadline;  ///< The client disconnects then.
     std::set<upstream_id> excluded;
+    region_restriction regions = {};  ///< Where it may be served.
     /// Required version of the weights; set to resume a stream.
     std::optional<std::uint64_t> version;
 
@@ -207,6 +209,13 @@
   tracked_upstream* BestOfSample(std::vector<tracked_upstream*> group);
   bool IsEligible(const tracked_upstream& upstream,
                   const submit& request) const;
+  /// \brief Whether the request may need an upstream that others behind it in
+  /// the queue do not need.
+  static bool IsSelective(const submit& request) {
+    return !request.excluded.empty() || request.version ||
+           request.regions.restricts();
+  }
+  region_id RegionOf(const upstream_entry& upstream) const;
   bool HasCapacity(const tracked_upstream& upstream,
                    const submit& request) const;
   /// \brief Number of gateways that send to the upstream.
--- a/include/fireflyslip/placement/placement_policy.h
+++ b/include/fireflyslip/placement/placement_policy.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstddef>
+#include <map>
 
 #include "fireflyslip/core/ids.h"
 #include "fireflyslip/core/time.h"
@@ -12,6 +13,9 @@
 /// \brief Parameters of the dispatcher.
 struct placement_policy {
   data_centre_id data_centre;  ///< Data centre of the gateway.
+  /// Region of each data centre; one that is missing is a region of its own
+  /// name.
+  std::map<data_centre_id, region_id> regions = {};
 
   /// Requests that may be sent to a replica beyond its slots, by urgency; the
   /// last value applies to all lower urgencies. A negative value reserves
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -333,6 +333,25 @@
   return TakeRetry();
 }
 
+region_restriction exchange::AllowedRegions() const {
+  const auto allowed_by = [this](const deployment& catalog) {
+    region_restriction regions;
+    if (const route* found =
+            catalog.routes.Find(HostOf(request_), request_.path())) {
+      regions = found->regions;
+    }
+    const workspace_grant* grant = catalog.FindKey(metadata_.api_key);
+    if (grant != nullptr && grant->workspace == workspace_) {
+      regions = regions.Intersect(grant->regions);
+    }
+    return regions;
+  };
+  const region_restriction at_arrival = allowed_by(*catalog_);
+  return gateway_.catalog() == catalog_
+             ? at_arrival
+             : at_arrival.Intersect(allowed_by(*gateway_.catalog()));
+}
+
 awaitable<bool> exchange::AwaitPlacement() {
   if (IsBlocked()) {
     co_await SendBlocked();
@@ -358,6 +377,7 @@
                                 : received_at_ + route_->target_latency;
   submission.client_deadline = deadline_;
   submission.excluded = excluded_upstreams_;
+  submission.regions = AllowedRegions();
   submission.version = stream_started_ ? stream_version_ : std::nullopt;
   gateway_.Submit(std::move(submission));
   waits_for_ = "placement";
@@ -374,6 +394,15 @@
     co_await SendBlocked();
     co_return false;
   }
+  // The configuration may have changed while the request was queued.
+  if (placement_ && cancel_cause_ == cancel_cause::kNone &&
+      !AllowedRegions().Allows(
+          gateway_.settings().RegionOf(placement_->upstream.data_centre))) {
+    gateway_.Handle(
+        dispatcher::attempt_completed{id_, attempt_status::kAbandoned});
+    const bool placed = co_await AwaitPlacement();
+    co_return placed;
+  }
   if (placement_ && cancel_cause_ == cancel_cause::kNone) {
     if (first) {
       placement_delay_ = MonotonicNow() - received_at_;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -79,6 +79,10 @@
   /// \brief Moves a retry that was taken when it was decided to the present, at
   /// which it is sent; false if the budget does not allow it any more.
   bool ConfirmRetry();
+  /// \brief The regions that both the configuration at the arrival of the
+  /// request and the newest one allow.
+  region_restriction AllowedRegions() const;
+  /// \brief Places the request once; returns whether it was placed.
   boost::asio::awaitable<bool> AwaitPlacement();
   boost::asio::awaitable<attempt_report> RunAttempt();
   /// \brief Skips responses to earlier requests on a reused connection, which a
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -88,6 +88,7 @@
 dispatcher MakeDispatcher(const node_settings& settings, std::uint64_t seed) {
   placement_policy policy;
   policy.data_centre = settings.data_centre;
+  policy.regions = settings.regions;
   return {std::move(policy), version_targets(settings.SupersededAfter()),
           random_source(seed)};
 }
--- a/src/placement/dispatcher.cc
+++ b/src/placement/dispatcher.cc
@@ -79,9 +79,9 @@
     return;
   }
   const std::optional<time_point> opening = EarliestOpening(event);
-  // The client may return to the upstreams that have been tried; this request
-  // may not.
-  if (!opening && event.refused) {
+  // The client may return to the upstreams that have been tried, or to regions
+  // that have upstreams again; this request may not.
+  if (!opening && (event.refused || event.regions.restricts())) {
     Refuse(event.id, error_kind::kNoUpstream);
     return;
   }
@@ -196,7 +196,7 @@
     ++it;
     tracked_upstream* upstream = Choose(request);
     if (upstream == nullptr) {
-      if (request.excluded.empty() && !request.version) {
+      if (!IsSelective(request)) {
         break;  // requests behind it are less urgent
       }
       continue;
@@ -224,7 +224,8 @@
                             const submit& request) const {
   const upstream_entry& entry = upstream.entry();
   if (entry.service != request.service || entry.draining ||
-      restrictions_.IsLeaving(entry) || request.excluded.contains(entry.id)) {
+      restrictions_.IsLeaving(entry) || request.excluded.contains(entry.id) ||
+      !request.regions.Allows(RegionOf(entry))) {
     return false;
   }
   if (request.model.empty()) {
@@ -243,6 +244,13 @@
   return !request.version || *request.version == version;
 }
 
+region_id dispatcher::RegionOf(const upstream_entry& upstream) const {
+  const auto found = policy_.regions.find(upstream.data_centre);
+  return found == policy_.regions.end()
+             ? region_id(upstream.data_centre.value())
+             : found->second;
+}
+
 tracked_upstream* dispatcher::Choose(const submit& request) {
   const bool any_available =
       std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& item) {
--- a/tests/adapter/catalog_codec_test.cc
+++ b/tests/adapter/catalog_codec_test.cc
@@ -65,6 +65,32 @@
   EXPECT_FALSE(IsOk(DecodeDeployment(broken)));
 }
 
+// Guards against a restriction that is not applied because its list is empty,
+// unknown or malformed.
+TEST_F(catalog_codec_test, Deployment_Regions_RestrictOnlyIfListed) {
+  json content = configuration_;
+  content["routes"][0]["allowedRegions"] = {"north", "nowhere"};
+  content["routes"][1]["allowedRegions"] = json::array();
+  content["tenants"][0]["allowedRegions"] = {"north"};
+  const auto decoded = DecodeDeployment(content);
+  ASSERT_TRUE(IsOk(decoded));
+  const route_table& routes = ValueOf(decoded).routes;
+  const region_restriction& chat = routes.Find("a.example", "/c/1")->regions;
+  EXPECT_TRUE(chat.Allows(region_id("north")));
+  EXPECT_FALSE(chat.Allows(region_id("south")));
+  EXPECT_FALSE(routes.Find("a.example", "/b/1")->regions.restricts());
+  const region_restriction& key = ValueOf(decoded).FindKey("k1")->regions;
+  EXPECT_EQ(key.Intersect(chat), region_restriction({region_id("north")}));
+  for (const json& malformed :
+       {json("north"), json::array({1}), json::object()}) {
+    for (const char* list : {"routes", "tenants"}) {
+      json broken = configuration_;
+      broken[list][0]["allowedRegions"] = malformed;
+      EXPECT_FALSE(IsOk(DecodeDeployment(broken))) << malformed;
+    }
+  }
+}
+
 TEST_F(catalog_codec_test, Upstream_Complete_AllFields) {
   const auto entry = DecodeUpstream("i-1", entry_);
   ASSERT_TRUE(entry);
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -59,6 +59,39 @@
   EXPECT_EQ(received.Field("Expect-Instance"), "i-1");
 }
 
+// Guards against a request that waits while its route is bound to a region, and
+// is then sent to another one.
+TEST_F(gateway_test, Request_RegionChangesWhileQueued_NotSentElsewhere) {
+  Configure();
+  upstream& local = AddUpstream(RespondWith(MakeResponse(200, "answer")));
+  entries_.begin()->second.draining = true;
+  gateway_->SetUpstreams(std::make_shared<const upstream_map>(entries_));
+  std::optional<http_response> answer;
+  boost::asio::co_spawn(
+      context_,
+      [&]() -> awaitable<void> {
+        http_request request = MakeRequest("/look/1");
+        const auto received = co_await client_.Request(
+            gateway_endpoint_, std::move(request), seconds(10));
+        answer = IsOk(received) ? ValueOf(received) : http_response{};
+      },
+      boost::asio::detached);
+  context_.run_for(std::chrono::milliseconds(50));
+  auto catalog = std::make_shared<deployment>();
+  catalog->version = 2;
+  route bound = MakeRoute("/look/", request_idempotency::kIdempotent);
+  bound.regions = region_restriction({region_id("other")});
+  catalog->routes = route_table({bound});
+  gateway_->SetDeployment(catalog);
+  entries_.begin()->second.draining = false;
+  gateway_->SetUpstreams(std::make_shared<const upstream_map>(entries_));
+  while (!answer) {
+    context_.run_one();
+  }
+  EXPECT_EQ(answer->status, 503);
+  EXPECT_TRUE(local.received.empty());
+}
+
 // Guards against executing a non-idempotent request twice when its response is
 // lost.
 TEST_F(gateway_test, NonIdempotent_ResponseLost_502AndNotRetried) {
--- a/tests/placement/dispatcher_test.cc
+++ b/tests/placement/dispatcher_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -531,5 +532,61 @@
   EXPECT_EQ(started_[3], "a");
 }
 
+// Guards against a request that is sent outside of its regions, on its first
+// try or when it is repeated.
+TEST_F(dispatcher_test, Submit_Restricted_OnlyInItsRegions) {
+  Add("near");
+  Add("far", "wlg");
+  Add("home", "chc");
+  Report("near", 0);
+  Report("far", 0);
+  Report("home", 15);
+  dispatcher::submit work = Work(1);
+  work.regions = region_restriction({region_id("chc")});
+  Handle(work);
+  EXPECT_EQ(started_[1], "home");
+  Handle(dispatcher::attempt_completed{1, attempt_status::kFailed});
+  started_.clear();
+  work.resubmitted = true;
+  work.excluded = {upstream_id("home")};
+  Handle(work);
+  EXPECT_TRUE(started_.empty());
+  EXPECT_EQ(refused_.at(1).kind, error_kind::kNoUpstream);
+}
+
+// Guards against holding a request whose regions have no replica, for example
+// because no data centre is in them, until its wait is over.
+TEST_F(dispatcher_test, Submit_NothingInItsRegions_RefusedAtOnceWithDelay) {
+  Add("near");
+  dispatcher::submit work = Work(1);
+  work.regions = region_restriction({region_id("unknown")});
+  Handle(work);
+  work.id = 2;
+  work.regions = region_restriction(std::set<region_id>());
+  Handle(work);
+  for (const dispatch_id id : {1, 2}) {
+    ASSERT_TRUE(refused_.contains(id));
+    EXPECT_EQ(refused_[id].kind, error_kind::kNoUpstream);
+    EXPECT_GT(refused_[id].retry_after, duration(0));
+  }
+}
+
+// Guards against a request that waits for a replica of its region and delays
+// all behind it, which other replicas could serve.
+TEST_F(dispatcher_test, Queue_RestrictedFirst_OthersNotDelayed) {
+  Add("near");
+  Add("home", "chc");
+  Report("near", 0);
+  Report("home", 16, 8);
+  dispatcher::submit restricted = Work(1);
+  restricted.regions = region_restriction({region_id("chc")});
+  Handle(restricted);
+  Handle(Work(2));
+  EXPECT_FALSE(started_.contains(1));
+  EXPECT_EQ(started_[2], "near");
+  Report("home", 2);
+  EXPECT_EQ(started_[1], "home");
+}
+
 }  // namespace
 }  // namespace fireflyslip
