Send nothing to the replicas of evacuated data centres

Gateways learn the set from relays or from the store, send nothing before they know it, and follow replicas of the other data centres instead. Watched only where the settings have evacuation_ms.

--- a/include/fireflyslip/catalog.h
+++ b/include/fireflyslip/catalog.h
@@ -7,6 +7,7 @@
 #include "fireflyslip/catalog/change_age.h"
 #include "fireflyslip/catalog/content_history.h"
 #include "fireflyslip/catalog/deployment.h"
+#include "fireflyslip/catalog/evacuation_registry.h"
 #include "fireflyslip/catalog/pending_confirmations.h"
 #include "fireflyslip/catalog/read_backoff.h"
 #include "fireflyslip/catalog/region_restriction.h"
--- a/include/fireflyslip/placement/monitored_upstreams.h
+++ b/include/fireflyslip/placement/monitored_upstreams.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <map>
 
+#include "fireflyslip/catalog/evacuation_registry.h"
 #include "fireflyslip/catalog/upstream_registry.h"
 #include "fireflyslip/core/ids.h"
 #include "fireflyslip/core/time.h"
@@ -18,6 +19,16 @@
   auto operator<=>(const monitoring_policy&) const = default;
 };
 
+/// \brief The upstreams outside of the evacuated data centres.
+upstream_map WithoutEvacuated(const upstream_map& upstreams,
+                              const evacuated_set& evacuated);
+
+/// \brief Number of replicas to follow. If the data centre of the gateway is
+/// evacuated, replicas of the others take the place of the local ones, so that
+/// its requests spread over all that are left.
+monitoring_policy MonitoringPolicyFor(const data_centre_id& data_centre,
+                                      const evacuated_set& evacuated);
+
 /// \brief Selects the replicas to which one gateway sends requests and whose
 /// load reports it receives. Upstreams without an engine are all selected.
 ///
--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -21,6 +21,9 @@
 constexpr milliseconds kExpiryOutage{1000};
 /// Live upstreams register again within this time after the store recovers.
 constexpr seconds kRegistrationGrace{2};
+/// Time in which an operator can repeat an evacuation that a restored store has
+/// lost.
+constexpr seconds kEvacuationGrace{30};
 
 /// Durations of the watches. The age of the key list must stay well below the
 /// time after which a revoked key must not be accepted. Changes of upstreams
@@ -69,9 +72,18 @@
                 [this](const upstream_registry::action& action) {
                   upstreams_ =
                       std::get<upstream_registry::publish>(action).upstreams;
-                  handlers_.on_upstreams(upstreams_);
+                  if (evacuations_known_) {
+                    handlers_.on_upstreams(upstreams_);
+                  }
                   relay_.SetRelays(SelectRelays(*upstreams_, data_centre_));
                 }),
+      evacuations_(
+          evacuation_registry(kEvacuationGrace),
+          timers_,
+          [this](const evacuation_registry::action& action) {
+            SetEvacuations(
+                std::get<evacuation_registry::publish>(action).data_centres);
+          }),
       configuration_watch_(context,
                            settings.platform,
                            {platform::kConfigurationKind, kConfigurationWatch,
@@ -90,18 +102,29 @@
                       duration(0), kMaxWatchBackoff},
                      VersionHandlers(),
                      seed + 3),
+      evacuation_watch_(context,
+                        settings.platform,
+                        {platform::kEvacuationKind, settings.EvacuationWatch(),
+                         duration(0), kMaxWatchBackoff},
+                        EvacuationHandlers(),
+                        seed + 5),
       relay_(context,
              settings.data_centre,
              settings.RelayPort(),
              {},
              RelayHandlers(),
              seed + 4),
+      follows_evacuations_(settings.evacuation_timeout.has_value()),
+      evacuations_known_(!follows_evacuations_),
       version_age_(MonotonicNow(), settings.InitialVersionAge()) {
   timers_.SubscribePeriodic(change_age::kMaxObservationGap / 2,
                             [this] { version_age_.Observe(MonotonicNow()); });
   known_positions_.configuration.emplace();
   known_positions_.upstreams.emplace();
   known_positions_.versions.emplace();
+  if (follows_evacuations_) {
+    known_positions_.evacuations.emplace();
+  }
 }
 
 void catalog_feed::Start() {
@@ -109,6 +132,8 @@
                         boost::asio::detached);
   boost::asio::co_spawn(context_, upstream_watch_.Run(), boost::asio::detached);
   boost::asio::co_spawn(context_, version_watch_.Run(), boost::asio::detached);
+  boost::asio::co_spawn(context_, evacuation_watch_.Run(),
+                        boost::asio::detached);
   boost::asio::co_spawn(context_, FindRelays(), boost::asio::detached);
 }
 
@@ -205,6 +230,9 @@
     configuration_watch_.Advance(*known_positions_.configuration);
     upstream_watch_.Advance(*known_positions_.upstreams);
     version_watch_.Advance(*known_positions_.versions);
+    if (follows_evacuations_) {
+      evacuation_watch_.Advance(*known_positions_.evacuations);
+    }
   }
   follows_store_ = following;
   if (!following) {
@@ -217,6 +245,7 @@
   }
   upstream_watch_.SetFollowing(following);
   version_watch_.SetFollowing(following);
+  evacuation_watch_.SetFollowing(following && follows_evacuations_);
 }
 
 awaitable<void> catalog_feed::FollowConfigurationLater() {
@@ -244,6 +273,19 @@
     return;
   }
   handlers_.on_platform_responded();
+  if (follows_evacuations_) {
+    // An older relay does not know the kind.
+    evacuation_watch_.SetFollowing(!answer.evacuations);
+    if (answer.evacuations &&
+        answer.evacuations->position >= *known_positions_.evacuations) {
+      const store_position at = answer.evacuations->position;
+      const bool restored = known_positions_.evacuations->revision > 0 &&
+                            at.era > known_positions_.evacuations->era;
+      known_positions_.evacuations = at;
+      evacuations_.Handle(evacuation_registry::listed{
+          answer.evacuations->data_centres, restored});
+    }
+  }
   // A relay may know less than this process, which has followed another one.
   if (answer.upstreams->position >= *known_positions_.upstreams) {
     const store_position at = answer.upstreams->position;
@@ -435,6 +477,52 @@
   return callbacks;
 }
 
+kind_watch::handlers catalog_feed::EvacuationHandlers() {
+  kind_watch::handlers callbacks;
+  callbacks.on_response = [this](duration) {
+    handlers_.on_platform_responded();
+  };
+  callbacks.on_list = [this](const platform::store_listing& listing) {
+    evacuation_registry::listed list;
+    for (const platform::store_object& object : listing.objects) {
+      list.data_centres.emplace(object.name);
+    }
+    list.restored = known_positions_.evacuations->revision > 0 &&
+                    listing.position.era > known_positions_.evacuations->era;
+    evacuations_.Handle(list);
+  };
+  callbacks.on_change = [this](const platform::store_change& change) {
+    evacuations_.Handle(evacuation_registry::changed{
+        data_centre_id(change.object.name), !change.removed});
+  };
+  callbacks.on_confirmed = [this](const watch_freshness&,
+                                  const store_position& position) {
+    known_positions_.evacuations =
+        std::max(*known_positions_.evacuations, position);
+  };
+  return callbacks;
+}
+
+void catalog_feed::SetEvacuations(const evacuated_set& data_centres) {
+  const auto log_difference = [](const evacuated_set& from,
+                                 const evacuated_set& to, const char* state) {
+    for (const data_centre_id& data_centre : to) {
+      if (!from.contains(data_centre)) {
+        LogLine("event=evacuation_" + std::string(state) +
+                " data_centre=" + data_centre.value());
+      }
+    }
+  };
+  log_difference(evacuated_, data_centres, "started");
+  log_difference(data_centres, evacuated_, "ended");
+  evacuated_ = data_centres;
+  const bool first = !std::exchange(evacuations_known_, true);
+  handlers_.on_evacuations(evacuated_);
+  if (first && upstreams_) {
+    handlers_.on_upstreams(upstreams_);
+  }
+}
+
 void catalog_feed::ApplyConfigurationObject(
     const platform::store_object& object) {
   if (object.name == platform::kConfigurationName) {
--- a/src/gateway/catalog_feed.h
+++ b/src/gateway/catalog_feed.h
@@ -30,6 +30,9 @@
     std::function<
         void(model_name, std::uint64_t version, time_point published_at)>
         on_target_version;
+    /// The set of evacuated data centres was read or has changed. Called before
+    /// `on_upstreams` if they may be evacuated.
+    std::function<void(const evacuated_set&)> on_evacuations;
     /// The platform responded, or a relay with a current view of it.
     std::function<void()> on_platform_responded;
     /// All key revocations up to this time are known.
@@ -45,7 +48,9 @@
   void Start();
 
   /// \brief Whether configuration and upstreams are known.
-  bool IsComplete() const { return deployment_ && upstreams_listed_; }
+  bool IsComplete() const {
+    return deployment_ && upstreams_listed_ && evacuations_known_;
+  }
   std::optional<time_point> keys_current_as_of() const {
     return keys_current_as_of_;
   }
@@ -55,6 +60,8 @@
   kind_watch::handlers ConfigurationHandlers();
   kind_watch::handlers UpstreamHandlers();
   kind_watch::handlers VersionHandlers();
+  kind_watch::handlers EvacuationHandlers();
+  void SetEvacuations(const evacuated_set& data_centres);
   /// \brief Looks for relays in a list of upstreams that may be seconds old.
   boost::asio::awaitable<void> FindRelays();
   /// \brief Reads the configuration until it has at least the announced
@@ -86,9 +93,11 @@
   random_source random_;
   timer_service timers_;
   core_driver<upstream_registry> registry_;
+  core_driver<evacuation_registry> evacuations_;
   kind_watch configuration_watch_;
   kind_watch upstream_watch_;
   kind_watch version_watch_;
+  kind_watch evacuation_watch_;
   relay_client relay_;
   std::shared_ptr<const deployment> deployment_;
   versioned_content configuration_;  // that `deployment_` was decoded from
@@ -100,6 +109,10 @@
   bool follows_store_ = false;
   std::map<model_name, std::uint64_t> target_versions_;
   bool upstreams_listed_ = false;
+  const bool follows_evacuations_;
+  /// No upstreams are reported before.
+  bool evacuations_known_;
+  evacuated_set evacuated_;
   change_age version_age_;
   std::set<upstream_id> malformed_upstreams_;  // already logged
   std::optional<time_point> keys_current_as_of_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -188,9 +188,31 @@
     }
   }
   unnamed_responses_ = std::move(addresses);
+  SelectUpstreams();
+}
+
+void gateway::SetEvacuations(const evacuated_set& data_centres) {
+  for (const data_centre_id& data_centre : evacuated_) {
+    counters_.Set("data_centre_evacuated",
+                  {{"data_centre", data_centre.value()}}, 0);
+  }
+  evacuated_ = data_centres;
+  for (const data_centre_id& data_centre : evacuated_) {
+    counters_.Set("data_centre_evacuated",
+                  {{"data_centre", data_centre.value()}}, 1);
+  }
+  if (upstreams_) {
+    SelectUpstreams();
+    SubscribeToReports();
+  }
+}
+
+void gateway::SelectUpstreams() {
+  const upstream_map available = WithoutEvacuated(*upstreams_, evacuated_);
   monitored_ = std::make_shared<const upstream_map>(
-      SelectMonitored(*upstreams_, settings_.vm, settings_.data_centre, {}));
-  gateway_count_.SetUpstreams(*upstreams_, *monitored_);
+      SelectMonitored(available, settings_.vm, settings_.data_centre,
+                      MonitoringPolicyFor(settings_.data_centre, evacuated_)));
+  gateway_count_.SetUpstreams(available, *monitored_);
   const bool first = upstreams_by_address_.empty();
   upstreams_by_address_.clear();
   for (const auto& [id, entry] : *monitored_) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -42,6 +42,8 @@
   // Updates from the control plane.
   void SetDeployment(std::shared_ptr<const deployment> catalog);
   void SetUpstreams(std::shared_ptr<const upstream_map> upstreams);
+  /// \brief The upstreams of these data centres get no requests from now on.
+  void SetEvacuations(const evacuated_set& data_centres);
   void SetTargetVersion(const model_name& model,
                         std::uint64_t version,
                         time_point published_at);
@@ -91,6 +93,8 @@
  private:
   boost::asio::awaitable<void> Serve(http_request request,
                                      response_writer& writer);
+  /// \brief Selects the upstreams that get requests.
+  void SelectUpstreams();
   boost::asio::awaitable<void> ReceiveReports();
   void SubscribeToReports();
   void OnLoadReport(const load_report& report);
@@ -120,6 +124,7 @@
   boost::asio::ip::udp::socket report_socket_;
   std::shared_ptr<const deployment> catalog_;
   std::shared_ptr<const upstream_map> upstreams_;
+  evacuated_set evacuated_;
   /// The upstreams that get requests and whose load is followed.
   std::shared_ptr<const upstream_map> monitored_;
   gateway_count_estimate gateway_count_;
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -104,6 +104,11 @@
             traffic_gateway_->SetUpstreams(upstreams);
           });
         };
+    callbacks.on_evacuations = [this](const evacuated_set& data_centres) {
+      traffic_.Post([this, data_centres] {
+        traffic_gateway_->SetEvacuations(data_centres);
+      });
+    };
     callbacks.on_target_version = [this](model_name model,
                                          std::uint64_t version,
                                          time_point published_at) {
--- a/src/node/catalog_relay.cc
+++ b/src/node/catalog_relay.cc
@@ -58,7 +58,8 @@
       upstreams(Scale(settings.upstream_drain_timeout, kUpstreamWatchFraction)),
       upstream_batch(
           Scale(settings.upstream_drain_timeout, kUpstreamBatchFraction)),
-      versions(settings.VersionWatch()) {}
+      versions(settings.VersionWatch()),
+      evacuations(settings.EvacuationWatch()) {}
 
 catalog_relay::catalog_relay(boost::asio::io_context& context,
                              const node_settings& settings,
@@ -89,6 +90,12 @@
                      {platform::kVersionKind, durations_.versions, duration(0)},
                      VersionHandlers(),
                      seed + 3),
+      evacuation_watch_(
+          context,
+          settings.platform,
+          {platform::kEvacuationKind, durations_.evacuations, duration(0)},
+          EvacuationHandlers(),
+          seed + 4),
       content_pacer_(settings.link_mbps * kBytesPerMegabit *
                      kContentLinkFraction),
       version_age_(MonotonicNow(), settings.InitialVersionAge()) {
@@ -98,8 +105,8 @@
 }
 
 result<unsigned short> catalog_relay::Listen(const http_endpoint& endpoint) {
-  for (kind_watch* watch :
-       {&configuration_watch_, &upstream_watch_, &version_watch_}) {
+  for (kind_watch* watch : {&configuration_watch_, &upstream_watch_,
+                            &version_watch_, &evacuation_watch_}) {
     boost::asio::co_spawn(context_, watch->Run(), boost::asio::detached);
   }
   return server_.Listen(endpoint);
@@ -213,6 +220,36 @@
   return callbacks;
 }
 
+kind_watch::handlers catalog_relay::EvacuationHandlers() {
+  kind_watch::handlers callbacks;
+  callbacks.on_response = [](duration) {};
+  callbacks.on_list = [this](const platform::store_listing& listing) {
+    evacuated_.clear();
+    for (const platform::store_object& object : listing.objects) {
+      evacuated_.emplace(object.name);
+    }
+    evacuations_position_.revision = 0;  // set when the response is complete
+  };
+  callbacks.on_change = [this](const platform::store_change& change) {
+    const data_centre_id data_centre(change.object.name);
+    if (change.removed) {
+      evacuated_.erase(data_centre);
+    } else {
+      evacuated_.insert(data_centre);
+    }
+    evacuations_position_.revision = 0;  // set when the response is complete
+  };
+  callbacks.on_confirmed = [this](const watch_freshness&,
+                                  const store_position& position) {
+    evacuations_confirmed_ = MonotonicNow();
+    if (evacuations_position_.revision == 0) {
+      evacuations_position_ = position;
+    }
+    WakeWaiters();
+  };
+  return callbacks;
+}
+
 void catalog_relay::SetVersion(const platform::store_object& object) {
   const auto target = platform::DecodeTargetVersion(object.content);
   if (target && target->version > versions_[target->model].version) {
@@ -350,9 +387,7 @@
     active_ = true;
     LogLine("event=relay_started");
     version_age_.RecordInterruption(MonotonicNow());
-    configuration_watch_.SetFollowing(true);
-    upstream_watch_.SetFollowing(true);
-    version_watch_.SetFollowing(true);
+    SetFollowing(true);
   }
 }
 
@@ -360,12 +395,17 @@
   if (active_ && MonotonicNow() > active_until_) {
     active_ = false;
     LogLine("event=relay_stopped reason=idle");
-    configuration_watch_.SetFollowing(false);
-    upstream_watch_.SetFollowing(false);
-    version_watch_.SetFollowing(false);
+    SetFollowing(false);
   }
 }
 
+void catalog_relay::SetFollowing(bool following) {
+  configuration_watch_.SetFollowing(following);
+  upstream_watch_.SetFollowing(following);
+  version_watch_.SetFollowing(following);
+  evacuation_watch_.SetFollowing(following && watches_evacuations());
+}
+
 void catalog_relay::WakeWaiters() {
   for (boost::asio::steady_timer* waiter : waiters_) {
     waiter->cancel();
@@ -376,7 +416,9 @@
   return (query.configuration &&
           configuration_position_ > *query.configuration) ||
          (query.upstreams && upstreams_.HasChangesAfter(*query.upstreams)) ||
-         (query.versions && versions_position_ > *query.versions);
+         (query.versions && versions_position_ > *query.versions) ||
+         (watches_evacuations() && query.evacuations &&
+          evacuations_position_ > *query.evacuations);
 }
 
 std::optional<time_point> catalog_relay::FreshUntil(time_point now) const {
@@ -385,12 +427,20 @@
       versions_position_.revision == 0) {
     return std::nullopt;
   }
-  const time_point until =
+  if (watches_evacuations() &&
+      (!evacuations_confirmed_ || evacuations_position_.revision == 0)) {
+    return std::nullopt;
+  }
+  time_point until =
       kResponseTime +
       std::min({*configuration_confirmed_ + durations_.configuration,
                 *upstreams_confirmed_ + durations_.upstream_batch +
                     durations_.upstreams,
                 *versions_confirmed_ + durations_.versions});
+  if (watches_evacuations()) {
+    until = std::min(until, kResponseTime + *evacuations_confirmed_ +
+                                durations_.evacuations);
+  }
   if (until <= now) {
     return std::nullopt;
   }
@@ -405,7 +455,9 @@
   };
   if (is_older(configuration_position_, query.configuration) ||
       is_older(upstreams_.position(), query.upstreams) ||
-      is_older(versions_position_, query.versions)) {
+      is_older(versions_position_, query.versions) ||
+      (watches_evacuations() &&
+       is_older(evacuations_position_, query.evacuations))) {
     return std::nullopt;
   }
   return FreshUntil(now);
@@ -421,6 +473,9 @@
   if (query.versions) {
     query.versions->era = versions_position_.era;
   }
+  if (query.evacuations) {
+    query.evacuations->era = evacuations_position_.era;
+  }
 }
 
 relay_answer catalog_relay::Answer(const relay_query& query,
@@ -451,6 +506,9 @@
                                           now - known.published_at};
     }
   }
+  if (query.evacuations && watches_evacuations()) {
+    answer.evacuations = {evacuations_position_, evacuated_};
+  }
   answer.relays =
       RelaysFor(query.data_centre.empty() ? data_centre_ : query.data_centre);
   return answer;
--- a/src/node/catalog_relay.h
+++ b/src/node/catalog_relay.h
@@ -53,11 +53,14 @@
     duration upstreams;
     duration upstream_batch;  ///< Delay between two watches.
     duration versions;
+    duration evacuations;  // zero if they are not watched
   };
 
   kind_watch::handlers ConfigurationHandlers();
   kind_watch::handlers UpstreamHandlers();
   kind_watch::handlers VersionHandlers();
+  kind_watch::handlers EvacuationHandlers();
+  void SetFollowing(bool following);
   boost::asio::awaitable<void> Serve(http_request request,
                                      response_writer& writer);
   boost::asio::awaitable<void> ServeConfiguration(response_writer& writer);
@@ -75,6 +78,9 @@
   void WakeWaiters();
   void SetVersion(const platform::store_object& object);
   void SetConfiguration(const platform::store_object& object);
+  bool watches_evacuations() const {
+    return durations_.evacuations > duration(0);
+  }
   bool HasChangesAfter(const relay_query& query) const;
   /// \brief Time until which the view is current; empty if it is not.
   std::optional<time_point> FreshUntil(time_point now) const;
@@ -96,6 +102,7 @@
   kind_watch configuration_watch_;
   kind_watch upstream_watch_;
   kind_watch version_watch_;
+  kind_watch evacuation_watch_;
   time_point active_until_;
   bool active_ = false;
   std::set<boost::asio::steady_timer*> waiters_;
@@ -122,7 +129,10 @@
   std::map<model_name, known_version> versions_;
   change_age version_age_;
   store_position versions_position_;  // of their last change
-  std::optional<duration> outage_;    // length of the last one
+  std::optional<time_point> evacuations_confirmed_;
+  store_position evacuations_position_;  // of their last change
+  evacuated_set evacuated_;
+  std::optional<duration> outage_;  // length of the last one
   time_point outage_ended_;
 };
 
--- a/src/node/node_settings.cc
+++ b/src/node/node_settings.cc
@@ -74,6 +74,10 @@
       ReadMilliseconds(reader, "rollout_ms", settings.rollout_timeout);
   settings.startup_grace =
       ReadMilliseconds(reader, "startup_grace_ms", settings.startup_grace);
+  if (const auto value =
+          reader.Integer("evacuation_ms", false, 1, kMaxDurationMs)) {
+    settings.evacuation_timeout = milliseconds(*value);
+  }
   if (auto ratio = reader.Number("retry_ratio", false, {0, true, 1, true})) {
     settings.retry_ratio = *ratio;
   }
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -48,6 +48,9 @@
   /// superseded versions, because it does not know when a version that it finds
   /// was published.
   duration startup_grace = seconds(3);
+  /// Time after which the upstreams of an evacuated data centre must receive no
+  /// new requests; empty if data centres are not evacuated.
+  std::optional<duration> evacuation_timeout;
   double retry_ratio = 0.2;  ///< Retries per request.
   duration retry_window = seconds(10);
   double retry_allowance = 100;  ///< Additional retries, all gateways.
@@ -70,6 +73,11 @@
   /// the known versions, and thus how early older ones are given up after a
   /// delayed notice.
   duration VersionWatch() const { return rollout_timeout * 3 / 10; }
+  /// \brief Duration of a watch of the evacuations. A change ends it at once;
+  /// an unresponsive connection is detected at its end.
+  duration EvacuationWatch() const {
+    return evacuation_timeout.value_or(duration(0)) * 2 / 5;
+  }
   /// \brief Time after its publication from which a version replaces older
   /// ones; the rest of the timeout is for the notification and for the latency
   /// to a replica.
--- a/src/node/relay_message.cc
+++ b/src/node/relay_message.cc
@@ -24,6 +24,7 @@
 constexpr std::string_view kConfigurationParameter = "configuration";
 constexpr std::string_view kUpstreamsParameter = "upstreams";
 constexpr std::string_view kVersionsParameter = "versions";
+constexpr std::string_view kEvacuationsParameter = "evacuations";
 constexpr std::string_view kHoldParameter = "hold_us";
 constexpr std::string_view kDataCentreParameter = "data_centre";
 constexpr std::string_view kEraSuffix = "_era";
@@ -152,7 +153,8 @@
   };
   return is_older(answer.configuration, query.configuration) ||
          is_older(answer.upstreams, query.upstreams) ||
-         is_older(answer.versions, query.versions);
+         is_older(answer.versions, query.versions) ||
+         is_older(answer.evacuations, query.evacuations);
 }
 
 std::string RelayTarget(const relay_query& query) {
@@ -162,6 +164,8 @@
   AppendPosition(target, kUpstreamsParameter, query.upstreams,
                  query.states_eras);
   AppendPosition(target, kVersionsParameter, query.versions, query.states_eras);
+  AppendPosition(target, kEvacuationsParameter, query.evacuations,
+                 query.states_eras);
   AppendParameter(target, kHoldParameter,
                   static_cast<std::uint64_t>(query.hold.count()));
   if (!query.data_centre.empty()) {
@@ -184,6 +188,8 @@
                     query.states_eras) ||
       !ReadPosition(request, kVersionsParameter, query.versions,
                     query.states_eras) ||
+      !ReadPosition(request, kEvacuationsParameter, query.evacuations,
+                    query.states_eras) ||
       !ReadParameter(request, kHoldParameter, hold)) {
     return std::nullopt;
   }
@@ -234,10 +240,19 @@
                             Microseconds(answer.versions->age), std::move(list),
                             answer.versions->position.era});
   }
-  const json message =
+  json message =
       json::array({answer.fresh, Microseconds(answer.held), std::move(outage),
                    std::move(configuration), std::move(upstreams),
                    std::move(versions), answer.relays});
+  if (answer.evacuations) {
+    json list = json::array();
+    for (const data_centre_id& data_centre : answer.evacuations->data_centres) {
+      list.push_back(data_centre.value());
+    }
+    message.push_back(
+        json::array({answer.evacuations->position.revision,
+                     answer.evacuations->position.era, std::move(list)}));
+  }
   std::string bytes;
   json::to_cbor(message, bytes);
   return Compress(bytes);
@@ -309,6 +324,18 @@
     answer.relays.push_back(relays.Text());
   }
   ok &= relays.ok();
+  if (!reader.AtEnd()) {
+    array_reader evacuations(reader.Next());
+    relayed_evacuations all;
+    all.position.revision = evacuations.Unsigned();
+    all.position.era = evacuations.Unsigned();
+    array_reader list(evacuations.Next());
+    while (!list.AtEnd()) {
+      all.data_centres.emplace(list.Text());
+    }
+    ok &= evacuations.ok() && list.ok();
+    answer.evacuations = std::move(all);
+  }
   if (!ok || !reader.ok()) {
     return std::nullopt;
   }
--- a/src/node/relay_message.h
+++ b/src/node/relay_message.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "fireflyslip/catalog/evacuation_registry.h"
 #include "fireflyslip/catalog/store_position.h"
 #include "fireflyslip/catalog/upstream_history.h"
 #include "fireflyslip/core/ids.h"
@@ -29,6 +30,7 @@
   /// Whether the query states eras; older senders know only revisions. An era
   /// that is not stated is 0.
   bool states_eras = true;
+  std::optional<store_position> evacuations = {};
 
   auto operator<=>(const relay_query&) const = default;
 };
@@ -62,6 +64,14 @@
   auto operator<=>(const relayed_versions&) const = default;
 };
 
+/// \brief All evacuated data centres.
+struct relayed_evacuations {
+  store_position position;
+  evacuated_set data_centres;
+
+  bool operator==(const relayed_evacuations&) const = default;
+};
+
 /// \brief End of an outage of the store, as the relay saw it.
 struct relayed_outage {
   duration length = {};
@@ -82,6 +92,8 @@
   /// IP addresses of the relays for the data centre in order of preference, for
   /// processes that do not follow the upstreams.
   std::vector<std::string> relays;
+  /// Empty from a relay that does not know the kind.
+  std::optional<relayed_evacuations> evacuations;
 
   bool operator==(const relay_answer&) const = default;
 };
--- a/src/placement/monitored_upstreams.cc
+++ b/src/placement/monitored_upstreams.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "fireflyslip/core/rendezvous.h"
@@ -48,6 +49,24 @@
 
 }  // namespace
 
+upstream_map WithoutEvacuated(const upstream_map& upstreams,
+                              const evacuated_set& evacuated) {
+  upstream_map remaining = upstreams;
+  std::erase_if(remaining, [&evacuated](const auto& item) {
+    return evacuated.contains(item.second.data_centre);
+  });
+  return remaining;
+}
+
+monitoring_policy MonitoringPolicyFor(const data_centre_id& data_centre,
+                                      const evacuated_set& evacuated) {
+  monitoring_policy policy;
+  if (evacuated.contains(data_centre)) {
+    policy.remote += std::exchange(policy.local, 0);
+  }
+  return policy;
+}
+
 upstream_map SelectMonitored(const upstream_map& upstreams,
                              const vm_id& gateway,
                              const data_centre_id& data_centre,
--- a/tests/gateway/catalog_feed_test.cc
+++ b/tests/gateway/catalog_feed_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -116,12 +117,18 @@
 /// from an older copy.
 class catalog_feed_restore_test : public testing::Test {
  protected:
-  catalog_feed_restore_test() : store_(context_) {
+  /// \param relay_evacuation, feed_evacuation settings of both processes; empty
+  /// if they do not know evacuations.
+  explicit catalog_feed_restore_test(
+      std::optional<duration> relay_evacuation = std::nullopt,
+      std::optional<duration> feed_evacuation = std::nullopt)
+      : store_(context_) {
     settings_.platform = store_.endpoint();
     settings_.data_centre = data_centre_id("akl");
     PutConfiguration(1, "key");
     store_.PutVersion(1);
     store_.PutUpstream("i-1", "127.0.0.1:80", "ready", 1, 1000);
+    settings_.evacuation_timeout = relay_evacuation;
     relay_ = std::make_unique<catalog_relay>(context_, settings_, 1);
     const auto port = relay_->Listen({"127.0.0.1", 0});
     settings_.first_internal_port =
@@ -132,14 +139,19 @@
       deployments_.push_back(std::move(known));
     };
     callbacks.on_upstreams = [this](std::shared_ptr<const upstream_map> known) {
+      upstreams_before_evacuations_ |= !evacuated_;
       upstreams_ = std::move(known);
     };
+    callbacks.on_evacuations = [this](const evacuated_set& known) {
+      evacuated_ = known;
+    };
     callbacks.on_target_version = [this](const auto&, std::uint64_t version,
                                          time_point) {
       target_versions_.push_back(version);
     };
     callbacks.on_platform_responded = [] {};
     callbacks.on_keys_confirmed = [](time_point) {};
+    settings_.evacuation_timeout = feed_evacuation;
     feed_ = std::make_unique<catalog_feed>(context_, settings_, callbacks, 1);
   }
 
@@ -197,6 +209,8 @@
   std::vector<std::shared_ptr<const deployment>> deployments_;
   std::shared_ptr<const upstream_map> upstreams_;
   std::vector<std::uint64_t> target_versions_;
+  std::optional<evacuated_set> evacuated_;
+  bool upstreams_before_evacuations_ = false;
   std::unique_ptr<catalog_feed> feed_;
 };
 
@@ -332,5 +346,65 @@
   EXPECT_TRUE(std::is_sorted(target_versions_.begin(), target_versions_.end()));
 }
 
+/// \brief A gateway's control plane that follows evacuations.
+class catalog_feed_evacuation_test : public catalog_feed_restore_test {
+ protected:
+  explicit catalog_feed_evacuation_test(
+      std::optional<duration> relay_evacuation = kTimeout)
+      : catalog_feed_restore_test(relay_evacuation, kTimeout) {
+    store_.Put(platform::kEvacuationKind, "akl", nlohmann::json::object());
+  }
+
+  bool IsEvacuated(const std::string& data_centre) const {
+    return evacuated_ && evacuated_->contains(data_centre_id(data_centre));
+  }
+
+  static constexpr seconds kTimeout{1};
+};
+
+/// \brief The same behind a relay of an older version.
+class catalog_feed_older_relay_test : public catalog_feed_evacuation_test {
+ protected:
+  catalog_feed_older_relay_test()
+      : catalog_feed_evacuation_test(std::nullopt) {}
+};
+
+// Guards against requests to an evacuated data centre from a gateway that has
+// just started, or whose relay does not tell it of changes.
+TEST_F(catalog_feed_evacuation_test, Evacuations_ThroughRelay_KnownFirst) {
+  ASSERT_TRUE(Start());
+  EXPECT_FALSE(upstreams_before_evacuations_);
+  EXPECT_TRUE(IsEvacuated("akl"));
+  const std::size_t calls = store_.lists(platform::kEvacuationKind);
+  store_.Put(platform::kEvacuationKind, "wlg", nlohmann::json::object());
+  store_.Remove(platform::kEvacuationKind, "akl");
+  EXPECT_TRUE(
+      RunUntil([&] { return IsEvacuated("wlg") && !IsEvacuated("akl"); }));
+  EXPECT_EQ(store_.lists(platform::kEvacuationKind), calls);
+}
+
+// Guards against an evacuation that ends at the gateways because the store has
+// come back from an older copy.
+TEST_F(catalog_feed_evacuation_test, Evacuation_MissingInCopy_Kept) {
+  ASSERT_TRUE(Start());
+  store_.Snapshot();
+  RaiseRevision();
+  store_.Put(platform::kEvacuationKind, "wlg", nlohmann::json::object());
+  ASSERT_TRUE(RunUntil([&] { return IsEvacuated("wlg"); }));
+  RestoreStore();
+  store_.PutUpstream("i-3", "127.0.0.1:82", "ready", 1, 3000);
+  ASSERT_TRUE(RunUntil([&] { return Has("i-3"); }));
+  EXPECT_TRUE(IsEvacuated("wlg"));
+}
+
+// Guards against missing evacuations behind a relay of an older version, which
+// does not know them.
+TEST_F(catalog_feed_older_relay_test, Evacuations_NotRelayed_StoreWatched) {
+  ASSERT_TRUE(Start());
+  EXPECT_TRUE(IsEvacuated("akl"));
+  store_.Put(platform::kEvacuationKind, "wlg", nlohmann::json::object());
+  EXPECT_TRUE(RunUntil([&] { return IsEvacuated("wlg"); }));
+}
+
 }  // namespace
 }  // namespace fireflyslip
--- a/tests/node/relay_message_test.cc
+++ b/tests/node/relay_message_test.cc
@@ -40,13 +40,16 @@
                        {{model_name("m"), {3, seconds(2)}},
                         {model_name("other"), {7, seconds(1)}}}};
     answer.relays = {"10.1.0.40", "10.1.0.41"};
+    answer.evacuations = {{2, 30}, {data_centre_id("akl")}};
     return answer;
   }
 };
 
 TEST_F(relay_message_test, Query_Formatted_ParsesEqual) {
-  const relay_query query{store_position{2, 5}, std::nullopt, store_position{},
-                          milliseconds(800), data_centre_id("a b&c")};
+  const relay_query query{store_position{2, 5},    std::nullopt,
+                          store_position{},        milliseconds(800),
+                          data_centre_id("a b&c"), true,
+                          store_position{2, 9}};
   EXPECT_EQ(ParseRelayTarget(RelayTarget(query)), query);
 }
 
@@ -76,6 +79,7 @@
   EXPECT_EQ(answer->configuration->position, (store_position{0, 17}));
   EXPECT_EQ(answer->upstreams->position, (store_position{0, 20}));
   EXPECT_EQ(answer->versions->position, (store_position{0, 12}));
+  EXPECT_FALSE(answer->evacuations);
 }
 
 // Guards against trust in a relay that has not noticed a restore.
--- a/tests/placement/monitored_upstreams_test.cc
+++ b/tests/placement/monitored_upstreams_test.cc
@@ -56,6 +56,25 @@
   EXPECT_EQ(Select("g", "a"), upstreams_);
 }
 
+// Guards against requests to an evacuated data centre, and against a load that
+// its gateways concentrate on the few remote replicas that they follow
+// otherwise.
+TEST_F(monitored_upstreams_test, Evacuated_Selected_AsManyElsewhere) {
+  AddReplicas("a", 20);
+  AddReplicas("b", 19);
+  AddReplicas("c", 19);
+  const evacuated_set evacuated = {data_centre_id("a")};
+  const upstream_map available = WithoutEvacuated(upstreams_, evacuated);
+  EXPECT_EQ(available.size(), 38U);
+  const upstream_map own =
+      SelectMonitored(available, vm_id("g"), data_centre_id("a"),
+                      MonitoringPolicyFor(data_centre_id("a"), evacuated));
+  EXPECT_EQ(CountIn(own, "b"), 14U);
+  EXPECT_EQ(CountIn(own, "c"), 14U);
+  EXPECT_EQ(MonitoringPolicyFor(data_centre_id("b"), evacuated),
+            monitoring_policy{});
+}
+
 // Guards against a replica that hardly any gateway sends to.
 TEST_F(monitored_upstreams_test, ManyGateways_Selected_EveryReplicaFollowed) {
   AddReplicas("a", 31);
