Split the rate of a cold replica among the gateways by permits

The agent beside the replica gives out permits with its load reports; a gateway sends to a cold replica with a permit only.

--- a/include/fireflyslip/catalog/deployment.h
+++ b/include/fireflyslip/catalog/deployment.h
@@ -37,10 +37,19 @@
   auto operator<=>(const weight_origin&) const = default;
 };
 
+/// \brief What an upstream tolerates for some time after its start.
+struct cold_limit {
+  duration time = {};         ///< Time after the start.
+  double requests_per_s = 0;  ///< From all gateways; above 0.
+
+  auto operator<=>(const cold_limit&) const = default;
+};
+
 /// \brief A service that routes refer to.
 struct service_profile {
   service_name name;
   std::size_t max_connections = 0;  ///< To one upstream, over all processes.
+  std::optional<cold_limit> cold;
   std::optional<engine_profile> engine;
   std::optional<weight_origin> origin;
 
--- a/include/fireflyslip/catalog/upstream_entry.h
+++ b/include/fireflyslip/catalog/upstream_entry.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "fireflyslip/core/ids.h"
+#include "fireflyslip/core/time.h"
 
 namespace fireflyslip {
 
@@ -26,16 +27,23 @@
   /// Versions of the weights that it serves; empty for services without models.
   std::map<model_name, std::uint64_t> model_versions;
 
+  /// Time for which it remained cold at its last heartbeat.
+  duration cold_for = {};
+
   /// Number of heartbeats since the start.
   std::uint64_t sequence = 0;
 
   auto operator<=>(const upstream_entry&) const = default;
 };
 
-/// \brief Whether two entries differ at most in their heartbeats.
-inline bool IsSameState(const upstream_entry& a, upstream_entry b) {
-  b.sequence = a.sequence;
-  return a == b;
+/// \brief Whether an entry differs from an earlier one at most in its
+/// heartbeats and in the cold time that has passed since.
+inline bool IsSameState(const upstream_entry& earlier, upstream_entry entry) {
+  entry.sequence = earlier.sequence;
+  if (entry.cold_for < earlier.cold_for) {
+    entry.cold_for = earlier.cold_for;
+  }
+  return earlier == entry;
 }
 
 }  // namespace fireflyslip
--- a/include/fireflyslip/placement.h
+++ b/include/fireflyslip/placement.h
@@ -10,6 +10,7 @@
 #include "fireflyslip/placement/drain_policy.h"
 #include "fireflyslip/placement/held_maximum.h"
 #include "fireflyslip/placement/monitored_upstreams.h"
+#include "fireflyslip/placement/permit_pool.h"
 #include "fireflyslip/placement/placement_policy.h"
 #include "fireflyslip/placement/retry_window.h"
 #include "fireflyslip/placement/tracked_upstream.h"
--- a/include/fireflyslip/placement/dispatcher.h
+++ b/include/fireflyslip/placement/dispatcher.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "fireflyslip/catalog/deployment.h"
 #include "fireflyslip/catalog/region_restriction.h"
 #include "fireflyslip/catalog/upstream_registry.h"
 #include "fireflyslip/catalog/version_targets.h"
@@ -95,6 +96,19 @@
 
     bool operator==(const upstreams_changed&) const = default;
   };
+  /// \brief The services whose upstreams tolerate few requests while they are
+  /// cold.
+  struct cold_limits_changed {
+    std::map<service_name, cold_limit> limits;
+
+    bool operator==(const cold_limits_changed&) const = default;
+  };
+  /// \brief A data centre gets requests again; its upstreams may be cold.
+  struct evacuation_ended {
+    data_centre_id data_centre;
+
+    bool operator==(const evacuation_ended&) const = default;
+  };
   struct load_reported {
     upstream_id upstream;
     upstream_load load;
@@ -126,6 +140,8 @@
                              response_begun,
                              attempt_completed,
                              upstreams_changed,
+                             cold_limits_changed,
+                             evacuation_ended,
                              load_reported,
                              upstream_advised,
                              version_published,
@@ -198,6 +214,8 @@
   void On(const response_begun& event);
   void On(const attempt_completed& event);
   void On(const upstreams_changed& event);
+  void On(const cold_limits_changed& event);
+  void On(const evacuation_ended& event);
   void On(const load_reported& event);
   void On(const upstream_advised& event);
   void On(const version_published& event);
@@ -218,6 +236,15 @@
   region_id RegionOf(const upstream_entry& upstream) const;
   bool HasCapacity(const tracked_upstream& upstream,
                    const submit& request) const;
+  /// \brief The limit that holds because the upstream is cold, or null.
+  const cold_limit* ColdLimit(const tracked_upstream& upstream) const;
+  /// \brief Plans the first request to a cold upstream without an agent at a
+  /// random time, so that the gateways do not send together.
+  void PlanColdSlot(const tracked_upstream& upstream);
+  duration ColdPeriod(const tracked_upstream& upstream,
+                      const cold_limit& limit) const;
+  /// \brief Counts a request to an upstream that is cold.
+  void CountColdRequest(tracked_upstream& upstream, const cold_limit& limit);
   /// \brief Number of gateways that send to the upstream.
   double GatewaysOf(const tracked_upstream& upstream) const;
   /// \brief Earliest time at which the statements of the upstream allow this
@@ -250,6 +277,10 @@
   random_source random_;
   std::map<upstream_id, tracked_upstream> upstreams_;
   upstream_restrictions restrictions_;
+  std::map<service_name, cold_limit> cold_limits_;
+  std::map<data_centre_id, time_point> evacuation_ends_;  // last of each
+  /// Earliest times of the next requests to cold upstreams without an agent.
+  std::map<upstream_id, time_point> cold_slots_;
   std::map<service_name, service_queue> queues_;
   std::map<dispatch_id, waiting_request> waiting_;
   std::set<std::pair<time_point, dispatch_id>> expiries_;
--- a/include/fireflyslip/placement/tracked_upstream.h
+++ b/include/fireflyslip/placement/tracked_upstream.h
@@ -1,6 +1,7 @@
 #ifndef FIREFLYSLIP_PLACEMENT_TRACKED_UPSTREAM_H_
 #define FIREFLYSLIP_PLACEMENT_TRACKED_UPSTREAM_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -33,7 +34,7 @@
  public:
   /// \brief Replaces the registry entry. A new incarnation with the same id
   /// starts without history.
-  void Update(const upstream_entry& entry);
+  void Update(const upstream_entry& entry, time_point now);
 
   void Send(dispatch_id id, duration prefill_time, time_point now);
   /// \brief Records that the response has started, and the prefill is complete.
@@ -52,6 +53,15 @@
                           const placement_policy& policy,
                           time_point now) const;
 
+  /// \brief Notes that the upstream is cold until a time.
+  void SetCold(time_point until) { cold_until_ = std::max(cold_until_, until); }
+  /// \brief Time until which the upstream is known to be cold.
+  time_point cold_until() const { return cold_until_; }
+  /// \brief Requests that this gateway may still send until the next load
+  /// report while the upstream is cold.
+  std::uint32_t cold_permits() const { return load_ ? load_->cold_permits : 0; }
+  void UseColdPermit() { load_->cold_permits -= 1; }
+
   const upstream_entry& entry() const { return entry_; }
   const upstream_health& health() const { return health_; }
   const std::optional<upstream_load>& load() const { return load_; }
@@ -79,6 +89,7 @@
   held_maximum gateways_{0};
   double ended_since_load_ = 0;
   int background_permits_ = 0;
+  time_point cold_until_;
 };
 
 }  // namespace fireflyslip
--- a/include/fireflyslip/placement/upstream_advice.h
+++ b/include/fireflyslip/placement/upstream_advice.h
@@ -17,6 +17,8 @@
   /// Time for which it wants no requests from this gateway; stated with a
   /// refusal.
   std::optional<duration> retry_after;
+  /// Time for which it remains cold.
+  std::optional<duration> cold_for;
 
   auto operator<=>(const upstream_advice&) const = default;
 };
--- a/include/fireflyslip/placement/upstream_load.h
+++ b/include/fireflyslip/placement/upstream_load.h
@@ -18,6 +18,9 @@
   bool loading = false;
   bool reachable = true;       ///< The replica responds to its agent.
   std::uint32_t gateways = 0;  ///< Gateways that receive the reports.
+  /// Requests that the receiver may send until the next report while the
+  /// replica is cold.
+  std::uint32_t cold_permits = 0;
   /// Round-trip time of a datagram to the agent, without the time for which
   /// the agent held it.
   duration round_trip_time = {};
--- a/src/catalog/upstream_history.cc
+++ b/src/catalog/upstream_history.cc
@@ -76,6 +76,7 @@
     const bool is_alive =
         known.returned && entry->sequence > known.entry->sequence;
     known.entry->sequence = entry->sequence;
+    known.entry->cold_for = entry->cold_for;
     if (!is_alive) {
       return;
     }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -162,6 +162,13 @@
 void gateway::SetDeployment(std::shared_ptr<const deployment> catalog) {
   catalog_ = std::move(catalog);
   server_.set_limits(ServerLimits(catalog_->limits, settings_));
+  dispatcher::cold_limits_changed cold;
+  for (const auto& [name, service] : catalog_->services) {
+    if (service.cold) {
+      cold.limits.emplace(name, *service.cold);
+    }
+  }
+  Handle(cold);
 }
 
 void gateway::SetUpstreams(std::shared_ptr<const upstream_map> upstreams) {
@@ -195,6 +202,9 @@
   for (const data_centre_id& data_centre : evacuated_) {
     counters_.Set("data_centre_evacuated",
                   {{"data_centre", data_centre.value()}}, 0);
+    if (!data_centres.contains(data_centre)) {
+      Handle(dispatcher::evacuation_ended{data_centre});
+    }
   }
   evacuated_ = data_centres;
   for (const data_centre_id& data_centre : evacuated_) {
--- a/src/node/load_report.cc
+++ b/src/node/load_report.cc
@@ -22,6 +22,8 @@
 constexpr std::size_t kSightingSize = 3;
 constexpr std::size_t kSubscriptionSize = 4;
 constexpr std::size_t kReportSize = 9;
+/// With the permits for a cold replica.
+constexpr std::size_t kLongReportSize = 10;
 
 bool IsUnsigned(const json& value) {
   return value.is_number_unsigned();
@@ -33,10 +35,13 @@
 }
 
 bool IsReport(const json& value) {
-  return value.size() == kReportSize && value[0] == kReportType &&
-         value[1].is_string() && IsUnsigned(value[2]) && IsUnsigned(value[3]) &&
-         IsUnsigned(value[4]) && IsUnsigned(value[5]) && IsUnsigned(value[6]) &&
-         IsUnsigned(value[7]) && value[8].is_array();
+  const bool has_size =
+      value.size() == kReportSize ||
+      (value.size() == kLongReportSize && IsUnsigned(value[kReportSize]));
+  return has_size && value[0] == kReportType && value[1].is_string() &&
+         IsUnsigned(value[2]) && IsUnsigned(value[3]) && IsUnsigned(value[4]) &&
+         IsUnsigned(value[5]) && IsUnsigned(value[6]) && IsUnsigned(value[7]) &&
+         value[8].is_array();
 }
 
 json EncodeEvidence(const crash_evidence& evidence) {
@@ -117,10 +122,15 @@
             const std::uint32_t flags =
                 (report.load.loading ? kLoadingFlag : 0) |
                 (report.load.reachable ? kReachableFlag : 0);
-            return json::array({kReportType, report.engine, report.echo_us,
-                                report.echo_delay_us, report.load.active,
-                                report.load.queued, flags, report.load.gateways,
-                                std::move(models)});
+            json list = json::array({kReportType, report.engine, report.echo_us,
+                                     report.echo_delay_us, report.load.active,
+                                     report.load.queued, flags,
+                                     report.load.gateways, std::move(models)});
+            // Older receivers refuse longer reports.
+            if (report.load.cold_permits > 0) {
+              list.push_back(report.load.cold_permits);
+            }
+            return list;
           },
       },
       message);
@@ -179,6 +189,9 @@
   report.load.loading = (flags & kLoadingFlag) != 0;
   report.load.reachable = (flags & kReachableFlag) != 0;
   report.load.gateways = value[7].get<std::uint32_t>();
+  if (value.size() == kLongReportSize) {
+    report.load.cold_permits = value[kReportSize].get<std::uint32_t>();
+  }
   const json& models = value[8];
   for (std::size_t i = 0; i + 1 < models.size(); i += 2) {
     if (models[i].is_string() && IsUnsigned(models[i + 1])) {
--- a/src/node/relay_message.cc
+++ b/src/node/relay_message.cc
@@ -100,6 +100,10 @@
   return list;
 }
 
+std::int64_t Microseconds(duration value) {
+  return value.count();
+}
+
 json EncodeChange(const upstream_change& change) {
   json item = json::array({change.id.value()});
   if (change.entry) {
@@ -113,14 +117,13 @@
     item.push_back(entry.started_ms);
     item.push_back(EncodeVersions(entry.model_versions));
     item.push_back(entry.sequence);
+    if (entry.cold_for > duration(0)) {
+      item.push_back(Microseconds(entry.cold_for));
+    }
   }
   return item;
 }
 
-std::int64_t Microseconds(duration value) {
-  return value.count();
-}
-
 std::optional<upstream_change> DecodeChange(const json& item) {
   array_reader reader(item);
   upstream_change change;
@@ -137,6 +140,8 @@
     entry.started_ms = reader.Unsigned();
     entry.model_versions = reader.Versions();
     entry.sequence = reader.OptionalUnsigned();
+    entry.cold_for =
+        duration(static_cast<duration::rep>(reader.OptionalUnsigned()));
     change.entry = std::move(entry);
   }
   if (!reader.ok()) {
--- a/src/placement/dispatcher.cc
+++ b/src/placement/dispatcher.cc
@@ -142,11 +142,25 @@
                                               : upstreams_.erase(it);
   }
   for (const auto& [id, entry] : *event.upstreams) {
-    upstreams_[id].Update(entry);
+    tracked_upstream& upstream = upstreams_[id];
+    upstream.Update(entry, now_);
+    PlanColdSlot(upstream);
   }
+  std::erase_if(cold_slots_, [this](const auto& item) {
+    return !upstreams_.contains(item.first);
+  });
   DispatchAll();
 }
 
+void dispatcher::On(const cold_limits_changed& event) {
+  cold_limits_ = event.limits;
+  DispatchAll();
+}
+
+void dispatcher::On(const evacuation_ended& event) {
+  evacuation_ends_[event.data_centre] = now_;
+}
+
 void dispatcher::On(const load_reported& event) {
   if (event.fleet_gateways > 0) {
     fleet_gateways_.Add(std::max(1.0, event.fleet_gateways), now_);
@@ -164,6 +178,12 @@
 }
 
 void dispatcher::On(const upstream_advised& event) {
+  const auto found = upstreams_.find(event.upstream.id);
+  if (event.advice.cold_for && found != upstreams_.end() &&
+      found->second.entry().started_ms == event.upstream.started_ms) {
+    found->second.SetCold(now_ + *event.advice.cold_for);
+    PlanColdSlot(found->second);
+  }
   if (restrictions_.Record(event.upstream, event.advice, now_)) {
     actions_.emplace_back(advice_changed{event.upstream.id, event.advice});
     Dispatch(event.upstream.service);
@@ -204,6 +224,9 @@
     double& virtual_time = queue.virtual_time[request.priority];
     virtual_time = std::max(virtual_time, std::get<2>(waiting_.at(id).key));
     Remove(id);
+    if (const cold_limit* limit = ColdLimit(*upstream)) {
+      CountColdRequest(*upstream, *limit);
+    }
     upstream->Send(id, request.prefill_time, now_);
     restrictions_.CountRequest(upstream->entry(), GatewaysOf(*upstream), now_);
     if (IsBackground(request)) {
@@ -304,6 +327,12 @@
   if (OpenAt(upstream) > now_) {
     return false;
   }
+  // Without a report of its agent, a cold replica gets nothing: other gateways
+  // may have used what it tolerates.
+  if (ColdLimit(upstream) != nullptr && upstream.entry().has_engine &&
+      (!upstream.HasFreshLoad(policy_, now_) || upstream.cold_permits() == 0)) {
+    return false;
+  }
   const double overcommit = SlotOvercommit(request);
   if (upstream.HasFreshLoad(policy_, now_)) {
     const upstream_load& load = *upstream.load();
@@ -317,13 +346,62 @@
          static_cast<double>(upstream.entry().slots) + overcommit;
 }
 
+const cold_limit* dispatcher::ColdLimit(
+    const tracked_upstream& upstream) const {
+  const auto found = cold_limits_.find(upstream.entry().service);
+  if (found == cold_limits_.end()) {
+    return nullptr;
+  }
+  time_point until = upstream.cold_until();
+  const auto ended = evacuation_ends_.find(upstream.entry().data_centre);
+  if (ended != evacuation_ends_.end()) {
+    until = std::max(until, ended->second + found->second.time);
+  }
+  return now_ < until ? &found->second : nullptr;
+}
+
+void dispatcher::CountColdRequest(tracked_upstream& upstream,
+                                  const cold_limit& limit) {
+  if (upstream.entry().has_engine) {
+    upstream.UseColdPermit();
+    return;
+  }
+  cold_slots_[upstream.entry().id] = now_ + ColdPeriod(upstream, limit);
+}
+
+void dispatcher::PlanColdSlot(const tracked_upstream& upstream) {
+  const cold_limit* limit = ColdLimit(upstream);
+  if (limit == nullptr || upstream.entry().has_engine) {
+    return;
+  }
+  const duration period = ColdPeriod(upstream, *limit);
+  const auto [slot, is_new] =
+      cold_slots_.try_emplace(upstream.entry().id, now_);
+  if (is_new || slot->second + period < now_) {
+    slot->second = now_ + FromSeconds(ToSeconds(period) * random_.Fraction());
+  }
+}
+
+duration dispatcher::ColdPeriod(const tracked_upstream& upstream,
+                                const cold_limit& limit) const {
+  return FromSeconds(GatewaysOf(upstream) / limit.requests_per_s);
+}
+
 double dispatcher::GatewaysOf(const tracked_upstream& upstream) const {
   return upstream.gateways() > 0 ? upstream.gateways()
                                  : fleet_gateways_.value();
 }
 
 time_point dispatcher::OpenAt(const tracked_upstream& upstream) const {
-  return restrictions_.OpenAt(upstream.entry(), GatewaysOf(upstream), now_);
+  time_point open_at =
+      restrictions_.OpenAt(upstream.entry(), GatewaysOf(upstream), now_);
+  if (ColdLimit(upstream) != nullptr && !upstream.entry().has_engine) {
+    const auto slot = cold_slots_.find(upstream.entry().id);
+    if (slot != cold_slots_.end()) {
+      open_at = std::max(open_at, slot->second);
+    }
+  }
+  return open_at;
 }
 
 std::optional<time_point> dispatcher::EarliestOpening(
--- a/src/placement/tracked_upstream.cc
+++ b/src/placement/tracked_upstream.cc
@@ -12,11 +12,16 @@
 
 }  // namespace
 
-void tracked_upstream::Update(const upstream_entry& entry) {
-  if (entry_.started_ms != entry.started_ms ||
-      entry_.address != entry.address) {
+void tracked_upstream::Update(const upstream_entry& entry, time_point now) {
+  const bool is_new =
+      entry_.started_ms != entry.started_ms || entry_.address != entry.address;
+  if (is_new) {
     *this = {};
   }
+  if ((is_new || entry.sequence != entry_.sequence) &&
+      entry.cold_for > duration(0)) {
+    SetCold(now + entry.cold_for);
+  }
   entry_ = entry;
 }
 
--- a/src/placement/upstream_restrictions.cc
+++ b/src/placement/upstream_restrictions.cc
@@ -10,7 +10,7 @@
   const incarnation key = KeyOf(upstream);
   auto found = restrictions_.find(key);
   if (found == restrictions_.end()) {
-    if (stated == upstream_advice{}) {
+    if (!stated.rate_limit && !stated.leaving && !stated.retry_after) {
       return false;
     }
     if (restrictions_.size() == kMaxIncarnations) {
@@ -22,6 +22,7 @@
   upstream_advice advice = stated;
   advice.leaving |= known.advice.leaving;
   advice.retry_after.reset();
+  advice.cold_for.reset();
   if (advice.rate_limit && !known.advice.rate_limit) {
     known.used_slot = now;
     known.phase = random_.Fraction();
--- a/src/stager/load_publisher.cc
+++ b/src/stager/load_publisher.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
+#include <vector>
 
 #include "fireflyslip/runtime.h"
 #include "node/load_report.h"
@@ -204,8 +205,13 @@
                  load.reachable != last_load_.reachable;
   last_load_ = load;
   const time_point now = MonotonicNow();
-  std::erase_if(subscribers_, [now](const auto& item) {
-    return item.second.subscribed_at + kSubscriptionLifetime < now;
+  std::erase_if(subscribers_, [this, now](const auto& item) {
+    const bool expired =
+        item.second.subscribed_at + kSubscriptionLifetime < now;
+    if (expired) {
+      cold_permits_.Forget(item.first);
+    }
+    return expired;
   });
   if (subscribers_.empty()) {
     return;
@@ -216,10 +222,17 @@
   report.load = load;
   report.load.loading |= load_pending_;
   report.load.gateways = static_cast<std::uint32_t>(subscribers_.size());
-  for (auto& [vm, subscriber] : subscribers_) {
-    if (!immediately && now < subscriber.next_report) {
-      continue;
+  std::vector<vm_id> receivers;
+  for (const auto& [vm, subscriber] : subscribers_) {
+    if (immediately || now >= subscriber.next_report) {
+      receivers.push_back(vm);
     }
+  }
+  const auto permits = cold_permits_.Take(receivers, now);
+  for (const vm_id& vm : receivers) {
+    subscriber& subscriber = subscribers_.at(vm);
+    const auto granted = permits.find(vm);
+    report.load.cold_permits = granted == permits.end() ? 0 : granted->second;
     // Half of the polling interval tolerates timer inaccuracy.
     subscriber.next_report = now + subscriber.interval - PollInterval() / 2;
     report.echo_us = subscriber.sent_us;
--- a/src/stager/load_publisher.h
+++ b/src/stager/load_publisher.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "fireflyslip/core/result.h"
+#include "fireflyslip/placement/permit_pool.h"
 #include "fireflyslip/placement/upstream_load.h"
 #include "node/evidence_queue.h"
 #include "node/load_report.h"
@@ -33,6 +34,12 @@
   /// bound.
   status Start();
 
+  /// \brief Sets the requests per second that the replica tolerates while it is
+  /// cold, from all gateways; 0 if there is no limit.
+  void SetColdRate(double requests_per_s) {
+    cold_permits_.SetRate(requests_per_s);
+  }
+
   /// \brief Sets whether reports announce that the replica is loading weights
   /// before it starts to. A change is reported immediately.
   void SetLoadPending(bool load_pending);
@@ -73,6 +80,7 @@
     time_point next_report;
   };
   std::map<vm_id, subscriber> subscribers_;
+  permit_pool cold_permits_;
   bool reachable_ = true;
   bool load_pending_ = false;
   upstream_load last_load_;
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -297,6 +297,7 @@
       service->engine->models.empty()) {
     return false;
   }
+  publisher_.SetColdRate(service->cold ? service->cold->requests_per_s : 0);
   for (const auto& [name, other] : catalog.services) {
     const auto endpoint =
         other.origin ? ParseHttpEndpoint(other.origin->address) : std::nullopt;
--- a/tests/placement/dispatcher_test.cc
+++ b/tests/placement/dispatcher_test.cc
@@ -588,5 +588,52 @@
   EXPECT_EQ(started_[1], "home");
 }
 
+// Guards against a burst at the replicas of a data centre that is taken back:
+// they may be cold without a statement.
+TEST_F(dispatcher_test, EvacuationEnded_WithoutPermit_Waits) {
+  Handle(dispatcher::cold_limits_changed{
+      {{service_name("engine"), cold_limit{seconds(3), 17}}}});
+  Handle(dispatcher::evacuation_ended{data_centre_id("akl")});
+  Add("a");
+  upstreams_.begin()->second.has_engine = true;
+  Publish();
+  Report("a", 0);
+  Handle(Work(1));
+  EXPECT_FALSE(started_.contains(1));
+  now_ += milliseconds(50);
+  upstream_load load;
+  load.gateways = 20;
+  load.cold_permits = 1;
+  load.model_versions[model_] = 1;
+  Handle(dispatcher::load_reported{upstream_id("a"), load});
+  EXPECT_FALSE(refused_.contains(1));
+  EXPECT_EQ(core_.waiting(), 0U);
+  Handle(Work(2));
+  EXPECT_TRUE(started_.contains(1));
+  EXPECT_FALSE(started_.contains(2));
+  now_ += seconds(3);
+  Report("a", 0);
+  Handle(Work(3));
+  EXPECT_TRUE(started_.contains(3));
+}
+
+// Guards against requests beyond the rate of a replica that becomes cold again
+// and says so only in a response.
+TEST_F(dispatcher_test, Response_StatesCold_OnlyWithPermit) {
+  Handle(dispatcher::cold_limits_changed{
+      {{service_name("engine"), cold_limit{seconds(3), 17}}}});
+  Add("a");
+  upstreams_.begin()->second.has_engine = true;
+  Publish();
+  Report("a", 0);
+  Handle(Work(1));
+  EXPECT_TRUE(started_.contains(1));
+  upstream_advice advice;
+  advice.cold_for = seconds(2);
+  Handle(dispatcher::upstream_advised{upstreams_.begin()->second, advice});
+  Handle(Work(2));
+  EXPECT_FALSE(started_.contains(2));
+}
+
 }  // namespace
 }  // namespace fireflyslip
