Treat a response with a status outside of 100 to 599 as a failure

Cause: any status of 200 or more was forwarded, and any below 200 was taken for an interim response, so that the request waited for another one. The new test failed before: 600 and 999 were forwarded, 000 and 099 without a body ended with 504 after the deadline. Both dialects use this client.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -32,6 +32,10 @@
 /// Bytes that have been received and not been parsed: a head, or framing of the
 /// body, which the parser takes only as a whole.
 constexpr std::size_t kMaxBufferedBytes = 16UL << 10;
+/// Bounds of the statuses of RFC 9110, section 15; those below 200 are interim.
+constexpr unsigned kFirstInterimStatus = 100;
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 constexpr std::size_t kMaxInterimResponses = 16;
 constexpr std::size_t kMaxSkippedBodyBytes = 64UL << 10;
 /// Requests that are not sent again on a connection; with more of them it is
@@ -332,8 +336,12 @@
       if (code) {
         co_return ReadError(code);
       }
-      constexpr unsigned kFirstFinalStatus = 200;
-      if (parser_->get().result_int() >= kFirstFinalStatus) {
+      const unsigned status_code = parser_->get().result_int();
+      if (status_code < kFirstInterimStatus || status_code > kLastStatus) {
+        co_return MakeError(endpoint_, error_kind::kUpstreamFailed,
+                            "status " + std::to_string(status_code));
+      }
+      if (status_code >= kFirstFinalStatus) {
         head_ = ToHead(parser_->get());
         co_return std::monostate{};
       }
--- a/tests/gateway/faulty_upstream_test.cc
+++ b/tests/gateway/faulty_upstream_test.cc
@@ -115,6 +115,37 @@
   }
 }
 
+// Guards against a response with a status that no server may send: it is
+// forwarded, or taken for an interim response, so that the request waits for
+// another one until its time is up.
+TEST_F(faulty_upstream_test, Status_OutOfRange_FailureOfUpstream) {
+  constexpr char kInterim[] = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  constexpr char kBody[] = "Content-Length: 14\r\n\r\nid: 1\ndata: a\n\n";
+  for (const std::string status : {"000", "099", "600", "999", "2x0", "1x0"}) {
+    const std::string head = "HTTP/1.1 " + status +
+                             " Odd\r\nAttempt-Id: id1\r\n"
+                             "Response-Seal: seal\r\n"
+                             "Content-Type: text/event-stream\r\n";
+    for (const std::string& bytes :
+         {head + kBody, head + "\r\n", kInterim + head + kBody}) {
+      for (const std::string target : {"/book/1", "/look/1", "/chat/1"}) {
+        SCOPED_TRACE(bytes + " " + target);
+        Configure();
+        entries_.clear();
+        upstreams_.clear();
+        wrote_ = 0;
+        AddScriptedUpstream({{bytes}}, wrote_);
+        AddUpstream(target == "/chat/1" ? Stream(kFirstEvent, true) : Echo());
+        AllowRetries();
+        const time_point sent = MonotonicNow();
+        const int expected = target == "/book/1" ? 502 : 200;
+        EXPECT_EQ(CallStatus(MakeNumbered(target, "id1")), expected);
+        EXPECT_LT(MonotonicNow() - sent, seconds(1));
+      }
+    }
+  }
+}
+
 // Guards against taking the end of a connection for a statement: it ends after
 // the repeated refusal, in each place, and the booking may have run.
 TEST_F(faulty_upstream_test, Booking_ClosedAfterRepeatedRefusal_502) {
