--- a/include/fireflyslip/placement/placement_policy.h
+++ b/include/fireflyslip/placement/placement_policy.h
@@ -73,8 +73,8 @@
   double shared_queue_time_fraction = 0.8;
   duration shared_late_queue_time = milliseconds(100);
   /// Share of responses that begin too late, or requests that replicas reject,
-  /// from which such a model counts as overloaded, for at least the hold time.
-  double overload_late_share = 0.3;
+  /// from which such a model counts as overloaded, for the hold time at least.
+  double overload_late_share = 0.5;
   duration overload_hold_time = seconds(3);
 
   /// Time for which a request may wait at a replica before it starts.
--- a/tests/gateway/faulty_upstream_test.cc
+++ b/tests/gateway/faulty_upstream_test.cc
@@ -122,14 +122,18 @@
   constexpr char kInterim[] = "HTTP/1.1 103 Early Hints\r\n\r\n";
   constexpr char kBody[] = "Content-Length: 14\r\n\r\nid: 1\ndata: a\n\n";
   for (const std::string status : {"000", "099", "600", "999", "2x0", "1x0"}) {
-    const std::string head = "HTTP/1.1 " + status +
-                             " Odd\r\nAttempt-Id: id1\r\n"
-                             "Response-Seal: seal\r\n"
-                             "Content-Type: text/event-stream\r\n";
-    for (const std::string& bytes :
-         {head + kBody, head + "\r\n", kInterim + head + kBody}) {
+    std::string head = "HTTP/1.1 " + status;
+    head +=
+        " Odd\r\nAttempt-Id: id1\r\nResponse-Seal: seal\r\n"
+        "Content-Type: text/event-stream\r\n";
+    std::vector<std::string> responses = {head, head, kInterim};
+    responses[0].append(kBody);
+    responses[1].append("\r\n");
+    responses[2].append(head).append(kBody);
+    for (const std::string& bytes : responses) {
       for (const std::string target : {"/book/1", "/look/1", "/chat/1"}) {
-        SCOPED_TRACE(bytes + " " + target);
+        SCOPED_TRACE(bytes);
+        SCOPED_TRACE(target);
         Configure();
         entries_.clear();
         upstreams_.clear();
