Notice that an upstream is cold again when a relay tells of it

Cause: a relay leaves out the heartbeats at which the cold time passes, so the same cold time as before was taken for no change.

--- a/src/catalog/upstream_registry.cc
+++ b/src/catalog/upstream_registry.cc
@@ -86,7 +86,11 @@
     entry.draining |= known.draining;
     entry.sequence = std::max(entry.sequence, known.sequence);
   }
-  changed_ |= !IsSameState(known, entry);
+  // A relay passes on that an upstream is cold again, but not how its cold time
+  // passes, so the same time may be news.
+  const bool may_be_cold_again =
+      entry.cold_for > duration(0) && entry.sequence > known.sequence;
+  changed_ |= may_be_cold_again || !IsSameState(known, entry);
   known = std::move(entry);
 }
 
--- a/tests/catalog/upstream_registry_test.cc
+++ b/tests/catalog/upstream_registry_test.cc
@@ -180,5 +180,32 @@
   EXPECT_FALSE(Has("b"));
 }
 
+// Guards against missing that an upstream is cold again: a relay leaves out the
+// heartbeats at which its cold time passes.
+TEST_F(upstream_registry_test, ColdAgain_ThroughRelay_Published) {
+  upstream_history relay;
+  upstream_entry entry = Incarnation("i-1", 1000, 1);
+  store_position position{1, 10};
+  relay.Replace({entry}, position);
+  StartWith({entry});
+  const auto beat = [&](duration cold_for) {
+    known_.reset();
+    const store_position before = position;
+    ++entry.sequence;
+    ++position.revision;
+    entry.cold_for = cold_for;
+    relay.Apply({{entry.id, entry}}, position);
+    for (const upstream_change& change : relay.Since(before).changes) {
+      Send(upstream_registry::changed{*change.entry});
+    }
+    return known_ ? known_->at(entry.id).cold_for : duration(-1);
+  };
+  for (int i = 0; i < 2; ++i) {
+    EXPECT_EQ(beat(seconds(3)), seconds(3));
+    EXPECT_EQ(beat(seconds(1)), duration(-1));
+    EXPECT_EQ(beat(duration(0)), duration(-1));
+  }
+}
+
 }  // namespace
 }  // namespace fireflyslip
--- a/tests/node/load_report_test.cc
+++ b/tests/node/load_report_test.cc
@@ -16,6 +16,7 @@
   report.load.queued = 2;
   report.load.loading = true;
   report.load.gateways = 8;
+  report.load.cold_permits = 2;
   report.load.model_versions[model_name("m")] = 4;
   EXPECT_EQ(DecodeLoadMessage(EncodeLoadMessage(report)), load_message(report));
 }
--- a/tests/node/relay_message_test.cc
+++ b/tests/node/relay_message_test.cc
@@ -21,6 +21,7 @@
     entry.has_engine = true;
     entry.started_ms = 1'764'000'000'000;
     entry.sequence = 70;
+    entry.cold_for = milliseconds(2500);
     entry.model_versions[model_name("m")] = 3;
     return entry;
   }
