--- a/tests/gateway/faulty_upstream_test.cc
+++ b/tests/gateway/faulty_upstream_test.cc
@@ -121,6 +121,7 @@
 TEST_F(faulty_upstream_test, Status_OutOfRange_FailureOfUpstream) {
   constexpr char kInterim[] = "HTTP/1.1 103 Early Hints\r\n\r\n";
   constexpr char kBody[] = "Content-Length: 14\r\n\r\nid: 1\ndata: a\n\n";
+  int cases = 0;
   for (const std::string status : {"000", "099", "600", "999", "2x0", "1x0"}) {
     std::string head = "HTTP/1.1 " + status;
     head +=
@@ -131,7 +132,9 @@
     responses[1].append("\r\n");
     responses[2].append(head).append(kBody);
     for (const std::string& bytes : responses) {
-      for (const std::string target : {"/book/1", "/look/1", "/chat/1"}) {
+      for (const std::string route : {"/book/", "/look/", "/chat/"}) {
+        // Requests with the same content would be taken to crash upstreams.
+        const std::string target = route + std::to_string(++cases);
         SCOPED_TRACE(bytes);
         SCOPED_TRACE(target);
         Configure();
@@ -139,10 +142,10 @@
         upstreams_.clear();
         wrote_ = 0;
         AddScriptedUpstream({{bytes}}, wrote_);
-        AddUpstream(target == "/chat/1" ? Stream(kFirstEvent, true) : Echo());
+        AddUpstream(route == "/chat/" ? Stream(kFirstEvent, true) : Echo());
         AllowRetries();
         const time_point sent = MonotonicNow();
-        const int expected = target == "/book/1" ? 502 : 200;
+        const int expected = route == "/book/" ? 502 : 200;
         EXPECT_EQ(CallStatus(MakeNumbered(target, "id1")), expected);
         EXPECT_LT(MonotonicNow() - sent, seconds(1));
       }
