--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,17 +6,16 @@
 out=target/review-2
 rm -rf "$out"
 mkdir -p "$out"
-flags=(-std=c++20 -O1 -Wall -Wextra -I. -Itests -pthread)
-programs=(review/6/new_template.cc)
+flags=(-std=c++20 -O1 -Wall -Wextra -I. -pthread)
+programs=(review/6/new_template.cc review/7/foreign_entry.cc)
 jobs=()
-for source in review/fleet-2/*.cc tests/process/child_process.cc \
-  "${programs[@]}"; do
+for source in review/fleet-2/*.cc "${programs[@]}"; do
   g++ "${flags[@]}" -c "$source" -o "$out/$(basename "$source" .cc).o" &
   jobs+=($!)
 done
 for job in "${jobs[@]}"; do wait "$job"; done
 for program in "${programs[@]}"; do
   name=$(basename "$program" .cc)
-  g++ -pthread "$out"/{fleet,replica,child_process,"$name"}.o -lcrypto \
+  g++ -pthread "$out"/{fleet,replica,"$name"}.o -lcrypto \
     -o "$out/$name"
 done
--- a/review/fleet-2/fleet.cc
+++ b/review/fleet-2/fleet.cc
@@ -1,13 +1,16 @@
 #include "review/fleet-2/fleet.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/tcp.h>
-#include <poll.h>
+#include <spawn.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cctype>
+#include <csignal>
 #include <cstdlib>
 #include <cstring>
 #include <stdexcept>
@@ -408,6 +411,45 @@
   }
 }
 
+child::child(const std::vector<std::string>& command,
+             const std::string& log_file) {
+  std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
+  for (const std::string& argument : command) {
+    arguments.push_back(const_cast<char*>(argument.c_str()));
+  }
+  arguments.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  const int code = posix_spawn(&pid_, arguments[0], &actions, nullptr,
+                               arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (code != 0) {
+    throw std::runtime_error("cannot start " + command.front());
+  }
+}
+
+child::~child() {
+  Signal(SIGKILL);
+  if (!ended_) {
+    waitpid(pid_, nullptr, 0);
+  }
+}
+
+bool child::IsRunning() {
+  ended_ = ended_ || waitpid(pid_, nullptr, WNOHANG) == pid_;
+  return !ended_;
+}
+
+void child::Signal(int number) {
+  if (IsRunning()) {
+    kill(pid_, number);
+  }
+}
+
 fleet::fleet(std::uint16_t store_port) : store_port_(store_port) {
   std::string name =
       (std::filesystem::temp_directory_path() / "review-2-XXXXXX").string();
@@ -463,7 +505,7 @@
   const std::string file =
       (folder_ / ("vm-" + std::to_string(vm) + ".json")).string();
   std::ofstream(file) << settings.dump();
-  processes_[vm] = std::make_unique<fireflyslip::testing::child_process>(
+  processes_[vm] = std::make_unique<child>(
       std::vector<std::string>{"/usr/bin/env", "FIREFLYSLIP_BOOT=" + file,
                                "target/src/fireflyslip", role},
       LogFile(vm));
--- a/review/fleet-2/fleet.h
+++ b/review/fleet-2/fleet.h
@@ -1,6 +1,8 @@
 #ifndef REVIEW_FLEET_2_FLEET_H_
 #define REVIEW_FLEET_2_FLEET_H_
 
+#include <sys/types.h>
+
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -19,8 +21,6 @@
 #include <thread>
 #include <vector>
 
-#include "tests/process/child_process.h"
-
 /// Stand-ins for clients, replicas and the platform, and a fleet of the
 /// project's programs on loopback addresses.
 namespace review {
@@ -141,6 +141,24 @@
   std::unique_ptr<server> server_;
 };
 
+/// \brief A process, which is ended by its id only.
+class child {
+ public:
+  /// Output is appended to a log file.
+  child(const std::vector<std::string>& command, const std::string& log_file);
+  /// Kills the process.
+  ~child();
+  child(const child&) = delete;
+  child& operator=(const child&) = delete;
+  pid_t pid() const { return pid_; }
+  bool IsRunning();
+  void Signal(int number);
+
+ private:
+  pid_t pid_ = 0;
+  bool ended_ = false;
+};
+
 /// \brief Gateways and stagers, started with the commands of the deploy file
 /// and settings of a small deployment (Tūī Lane).
 class fleet {
@@ -160,9 +178,7 @@
   bool WaitUntilReady(std::size_t vm, milliseconds timeout) const;
   bool IsReady(std::size_t vm) const;
   std::uint16_t callers_port() const { return callers_port_; }
-  fireflyslip::testing::child_process& process(std::size_t vm) {
-    return *processes_.at(vm);
-  }
+  child& process(std::size_t vm) { return *processes_.at(vm); }
   bool has_process(std::size_t vm) const { return processes_.contains(vm); }
   void Kill(std::size_t vm) { processes_.erase(vm); }
   std::string LogFile(std::size_t vm) const;
@@ -178,8 +194,7 @@
   std::uint16_t internal_port_ = 0;  // first of 16
   std::uint16_t callers_port_ = 0;
   std::uint16_t ready_port_ = 0;
-  std::map<std::size_t, std::unique_ptr<fireflyslip::testing::child_process>>
-      processes_;
+  std::map<std::size_t, std::unique_ptr<child>> processes_;
 };
 
 /// \brief A configuration with the limits of a small deployment.
