--- /dev/null
+++ b/review/8/trace_request.cc
@@ -0,0 +1,183 @@
+// One client sends TRACE requests with a body. Later, the gateway that they
+// were sent to gets its SIGTERM while it serves bookings.
+
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "review/fleet-2/fleet.h"
+
+namespace review {
+namespace {
+
+constexpr char kService[] = "bookings";
+constexpr int kOddRequests = 5;
+constexpr int kBookings = 10;
+constexpr milliseconds kRunTime{1000};
+constexpr milliseconds kShortRunTime{30};
+constexpr milliseconds kContact{3000};
+/// Within `graceS`, 8 s.
+constexpr milliseconds kAnswerTimeout{12000};
+
+struct booking {
+  std::string attempt;
+  http_message answer;
+};
+
+class trace_request_case {
+ public:
+  explicit trace_request_case(const std::string& file) : record_(file) {}
+
+  int Run() {
+    store_.Put("config", "main",
+               Configuration(1,
+                             {{{"name", "r-book"},
+                               {"host", kHost},
+                               {"pathPrefix", "/book/"},
+                               {"routeType", "non_idempotent"},
+                               {"timeoutMs", 2500},
+                               {"targetLatencyMs", 150},
+                               {"priority", 2},
+                               {"service", kService},
+                               {"maxAttempts", 1},
+                               {"public", false}}},
+                             {{{"name", kService},
+                               {"healthPath", "/healthz"},
+                               {"maxConnections", 110}}}));
+    const server bookings(
+        [this](const http_message& request, connection& client) {
+          return Book(request, client);
+        },
+        "127.0.0.1");
+    store_.Put("servers", "b-1",
+               {{"service", kService},
+                {"address", "127.0.0.1:" + std::to_string(bookings.port())},
+                {"zone", "akl-a"},
+                {"version", "v1"},
+                {"slots", 16},
+                {"state", "ready"},
+                {"sequence", 1},
+                {"born", 1'700'000'000'000},
+                {"coldRemainingMs", 0}});
+    fleet_.StartGateway(0);
+    if (!fleet_.WaitUntilReady(0, milliseconds(30000))) {
+      return 2;
+    }
+    const std::string method = IsCalm() ? "POST" : "TRACE";
+    const booking first = Request("POST", "first");
+    for (int i = 0; i < kOddRequests; ++i) {
+      Request(method, "odd");
+    }
+    const bool served = first.answer.status == 200 && ServeFor(2 * kContact);
+    return served ? Stop() : 2;
+  }
+
+ private:
+  /// Sends sound requests for some time; returns whether most are served.
+  bool ServeFor(milliseconds length) {
+    constexpr int kCallers = 8;
+    std::atomic<int> sent = 0;
+    std::atomic<int> served = 0;
+    std::vector<std::thread> callers;
+    const auto end = clock::now() + length;
+    for (int i = 0; i < kCallers; ++i) {
+      callers.emplace_back([&] {
+        while (clock::now() < end) {
+          ++sent;
+          served += Request("POST", "short").answer.status == 200 ? 1 : 0;
+        }
+      });
+    }
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    return served > sent / 2;
+  }
+
+  /// Stops the gateway while bookings are in progress; all of them would be
+  /// answered within its grace time.
+  int Stop() {
+    std::vector<booking> results(kBookings);
+    std::vector<std::thread> callers;
+    callers.reserve(kBookings);
+    for (booking& result : results) {
+      callers.emplace_back(
+          [this, &result] { result = Request("POST", "booking"); });
+    }
+    std::this_thread::sleep_for(kRunTime / 2);
+    record_.Add("SIGTERM");
+    fleet_.process(0).Signal(SIGTERM);
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    int lost = 0;
+    int run = 0;
+    {
+      const std::scoped_lock lock(mutex_);
+      for (const booking& result : results) {
+        const bool passed_on = run_.contains(result.attempt);
+        run += passed_on ? 1 : 0;
+        lost += passed_on && !result.answer.complete ? 1 : 0;
+      }
+    }
+    char line[200];
+    std::snprintf(line, sizeof(line),
+                  "%d bookings in progress at the SIGTERM, %d passed on to the "
+                  "replica, %d of these without an answer",
+                  kBookings, run, lost);
+    record_.Add(line);
+    std::puts(line);
+    return run == 0 ? 2 : lost > 0 ? 1 : 0;
+  }
+
+  bool Book(const http_message& request, connection& client) {
+    const std::string attempt = request.Field("Attempt-Id");
+    if (request.Field("Expect-Instance") != "b-1") {
+      return client.Write(FormatResponse(421, "", {{"Attempt-Id", attempt}}));
+    }
+    record_.Add("run " + request.method + " " + attempt);
+    {
+      const std::scoped_lock lock(mutex_);
+      run_.insert(attempt);
+    }
+    std::this_thread::sleep_for(attempt.starts_with("booking") ? kRunTime
+                                                               : kShortRunTime);
+    return client.Write(FormatResponse(
+        200, "booked",
+        {{"Attempt-Id", attempt}, {"Response-Seal", "seal." + attempt}}));
+  }
+
+  booking Request(const std::string& method, const std::string& kind) {
+    booking result;
+    result.attempt = kind + "-" + std::to_string(++attempts_);
+    record_.Add("sent " + method + " " + result.attempt);
+    result.answer =
+        Send(fleet::Address(0), fleet_.callers_port(), method, "/book/a",
+             {{"Host", kHost},
+              {"Attempt-Id", result.attempt},
+              {"Deadline-Ms", "2500"},
+              {"Authorization", std::string("Bearer ") + kKey}},
+             "one room", kAnswerTimeout);
+    record_.Add("answered " + result.attempt +
+                " status=" + std::to_string(result.answer.status) +
+                (result.answer.complete ? "" : " incomplete"));
+    return result;
+  }
+
+  record record_;
+  store store_;
+  fleet fleet_{store_.port()};
+  std::atomic<int> attempts_ = 0;
+  std::mutex mutex_;
+  std::set<std::string> run_;
+};
+
+}  // namespace
+}  // namespace review
+
+int main(int, char** arguments) {
+  return review::trace_request_case(arguments[1]).Run();
+}
