--- a/review/8/trace_request.cc
+++ b/review/8/trace_request.cc
@@ -14,9 +14,11 @@
 namespace {
 
 constexpr char kService[] = "bookings";
-constexpr int kOddRequests = 5;
-constexpr int kBookings = 10;
-constexpr milliseconds kRunTime{1000};
+constexpr std::size_t kOddRequests = 5;  // at each gateway
+constexpr std::size_t kGateways = 4;
+constexpr std::size_t kBookings = 20;  // at all gateways
+constexpr milliseconds kStopInterval{500};
+constexpr milliseconds kRunTime{3500};
 constexpr milliseconds kShortRunTime{30};
 constexpr milliseconds kContact{3000};
 /// Within `graceS`, 8 s.
@@ -38,7 +40,7 @@
                                {"host", kHost},
                                {"pathPrefix", "/book/"},
                                {"routeType", "non_idempotent"},
-                               {"timeoutMs", 2500},
+                               {"timeoutMs", 6000},
                                {"targetLatencyMs", 150},
                                {"priority", 2},
                                {"service", kService},
@@ -62,32 +64,37 @@
                 {"sequence", 1},
                 {"born", 1'700'000'000'000},
                 {"coldRemainingMs", 0}});
-    fleet_.StartGateway(0);
-    if (!fleet_.WaitUntilReady(0, milliseconds(30000))) {
-      return 2;
+    for (std::size_t i = 0; i < kGateways; ++i) {
+      fleet_.StartGateway(i);
+    }
+    bool served = true;
+    for (std::size_t i = 0; i < kGateways; ++i) {
+      served &= fleet_.WaitUntilReady(i, milliseconds(30000)) &&
+                Request(i, "POST", "first").answer.status == 200;
     }
     const std::string method = IsCalm() ? "POST" : "TRACE";
-    const booking first = Request("POST", "first");
-    for (int i = 0; i < kOddRequests; ++i) {
-      Request(method, "odd");
+    for (std::size_t i = 0; served && i < kGateways * kOddRequests; ++i) {
+      Request(i % kGateways, method, "odd");
     }
-    const bool served = first.answer.status == 200 && ServeFor(2 * kContact);
+    served = served && ServeFor(2 * kContact);
     return served ? Stop() : 2;
   }
 
  private:
   /// Sends sound requests for some time; returns whether most are served.
   bool ServeFor(milliseconds length) {
-    constexpr int kCallers = 8;
+    constexpr std::size_t kCallers = 3 * kGateways;
     std::atomic<int> sent = 0;
     std::atomic<int> served = 0;
     std::vector<std::thread> callers;
     const auto end = clock::now() + length;
-    for (int i = 0; i < kCallers; ++i) {
-      callers.emplace_back([&] {
+    for (std::size_t i = 0; i < kCallers; ++i) {
+      callers.emplace_back([&, i] {
         while (clock::now() < end) {
           ++sent;
-          served += Request("POST", "short").answer.status == 200 ? 1 : 0;
+          served += Request(i % kGateways, "POST", "short").answer.status == 200
+                        ? 1
+                        : 0;
         }
       });
     }
@@ -97,19 +104,23 @@
     return served > sent / 2;
   }
 
-  /// Stops the gateway while bookings are in progress; all of them would be
-  /// answered within its grace time.
+  /// Stops the gateways while bookings are in progress; all of them would be
+  /// answered within the grace time.
   int Stop() {
     std::vector<booking> results(kBookings);
     std::vector<std::thread> callers;
     callers.reserve(kBookings);
-    for (booking& result : results) {
-      callers.emplace_back(
-          [this, &result] { result = Request("POST", "booking"); });
+    for (std::size_t i = 0; i < kBookings; ++i) {
+      callers.emplace_back([this, i, &result = results[i]] {
+        result = Request(i % kGateways, "POST", "booking");
+      });
+    }
+    std::this_thread::sleep_for(kRunTime / 8);
+    for (std::size_t i = 0; i < kGateways; ++i) {
+      record_.Add("SIGTERM of gateway " + std::to_string(i));
+      fleet_.process(i).Signal(SIGTERM);
+      std::this_thread::sleep_for(kStopInterval);
     }
-    std::this_thread::sleep_for(kRunTime / 2);
-    record_.Add("SIGTERM");
-    fleet_.process(0).Signal(SIGTERM);
     for (std::thread& caller : callers) {
       caller.join();
     }
@@ -124,10 +135,11 @@
       }
     }
     char line[200];
-    std::snprintf(line, sizeof(line),
-                  "%d bookings in progress at the SIGTERM, %d passed on to the "
-                  "replica, %d of these without an answer",
-                  kBookings, run, lost);
+    std::snprintf(
+        line, sizeof(line),
+        "%zu bookings in progress at the SIGTERMs, %d passed on to the "
+        "replica, %d of these without an answer",
+        kBookings, run, lost);
     record_.Add(line);
     std::puts(line);
     return run == 0 ? 2 : lost > 0 ? 1 : 0;
@@ -146,21 +158,24 @@
     std::this_thread::sleep_for(attempt.starts_with("booking") ? kRunTime
                                                                : kShortRunTime);
     return client.Write(FormatResponse(
-        200, "booked",
+        200, std::string(200 + request.body.size(), 'b'),
         {{"Attempt-Id", attempt}, {"Response-Seal", "seal." + attempt}}));
   }
 
-  booking Request(const std::string& method, const std::string& kind) {
+  booking Request(std::size_t gateway,
+                  const std::string& method,
+                  const std::string& kind) {
     booking result;
     result.attempt = kind + "-" + std::to_string(++attempts_);
-    record_.Add("sent " + method + " " + result.attempt);
+    record_.Add("sent " + method + " " + result.attempt +
+                " gateway=" + std::to_string(gateway));
     result.answer =
-        Send(fleet::Address(0), fleet_.callers_port(), method, "/book/a",
+        Send(fleet::Address(gateway), fleet_.callers_port(), method, "/book/a",
              {{"Host", kHost},
               {"Attempt-Id", result.attempt},
-              {"Deadline-Ms", "2500"},
+              {"Deadline-Ms", "6000"},
               {"Authorization", std::string("Bearer ") + kKey}},
-             "one room", kAnswerTimeout);
+             std::string(100 + attempts_ * 37 % 3500, 'r'), kAnswerTimeout);
     record_.Add("answered " + result.attempt +
                 " status=" + std::to_string(result.answer.status) +
                 (result.answer.complete ? "" : " incomplete"));
