--- a/review/6/new_template.cc
+++ b/review/6/new_template.cc
@@ -10,8 +10,8 @@
 #include <thread>
 #include <vector>
 
-#include "review/fleet-2/fleet.h"
-#include "review/fleet-2/replica.h"
+#include "../fleet-2/fleet.h"
+#include "../fleet-2/replica.h"
 
 namespace review {
 namespace {
@@ -138,7 +138,7 @@
                       const std::string& kind,
                       const std::string& parts,
                       int& status) {
-    const std::string attempt = kind + "-" + std::to_string(++attempts_);
+    std::string attempt = kind + "-" + std::to_string(++attempts_);
     record_.Add("sent " + attempt + " gateway=" + std::to_string(gateway) +
                 " parts=" + parts);
     const http_message answer =
--- a/review/8/trace_request.cc
+++ b/review/8/trace_request.cc
@@ -8,7 +8,7 @@
 #include <thread>
 #include <vector>
 
-#include "review/fleet-2/fleet.h"
+#include "../fleet-2/fleet.h"
 
 namespace review {
 namespace {
--- a/review/fleet-2/fleet.cc
+++ b/review/fleet-2/fleet.cc
@@ -1,4 +1,4 @@
-#include "review/fleet-2/fleet.h"
+#include "fleet.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
--- a/review/fleet-2/replica.cc
+++ b/review/fleet-2/replica.cc
@@ -1,4 +1,4 @@
-#include "review/fleet-2/replica.h"
+#include "replica.h"
 
 #include <openssl/sha.h>
 
--- a/review/fleet-2/replica.h
+++ b/review/fleet-2/replica.h
@@ -13,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-#include "review/fleet-2/fleet.h"
+#include "fleet.h"
 
 namespace review {
 
