--- a/review/fleet-2/replica.cc
+++ b/review/fleet-2/replica.cc
@@ -15,7 +15,6 @@
 constexpr milliseconds kEventInterval{20};
 constexpr int kEvents = 5;
 constexpr milliseconds kLoadTime{300};
-constexpr milliseconds kDownTime{2000};
 /// The platform removes an entry three heartbeats after the last one.
 constexpr milliseconds kEntryLifetime{3600};
 
@@ -281,7 +280,7 @@
     }
     server_.reset();
     expiries_.emplace_back(clock::now() + kEntryLifetime, Id());
-    if (!Pause(kDownTime)) {
+    if (!Pause(hooks_.down_time)) {
       break;
     }
     {
--- a/review/fleet-2/replica.h
+++ b/review/fleet-2/replica.h
@@ -41,7 +41,7 @@
 
 /// \brief Model replica on a VM of its own. It holds version 1 at its start,
 /// and streams events. A request that its owner names crashes it as it begins
-/// to write the answer; it is back after two seconds, with a new id and without
+/// to write the answer; it is back after `down_time`, with a new id and without
 /// weights, and what was staged is still there.
 class replica {
  public:
@@ -51,6 +51,7 @@
     /// The replica writes the first token of the request.
     std::function<void(const http_message&)> begun;
     std::function<void()> crashed;
+    milliseconds down_time{2000};
   };
 
   replica(std::size_t vm,
