--- a/review/6/foreign_entry.cc
+++ b/review/6/foreign_entry.cc
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <cstdio>
+#include <exception>
 #include <memory>
 #include <string>
 #include <thread>
@@ -228,5 +229,10 @@
 }  // namespace review
 
 int main(int, char** arguments) {
-  return review::foreign_entry_case(arguments[1]).Run();
+  try {
+    return review::foreign_entry_case(arguments[1]).Run();
+  } catch (const std::exception& problem) {
+    std::puts(problem.what());
+    return 2;
+  }
 }
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,5 @@
 # run. With TROUBLE=0, the other writer puts nothing.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
+test -x target/review-2/foreign_entry || exit 2
 exec target/review-2/foreign_entry review/6/record.txt
--- a/review/9/new_template.cc
+++ b/review/9/new_template.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cstdio>
+#include <exception>
 #include <list>
 #include <string>
 #include <thread>
@@ -269,5 +270,10 @@
 }  // namespace review
 
 int main(int, char** arguments) {
-  return review::new_template_case(arguments[1]).Run();
+  try {
+    return review::new_template_case(arguments[1]).Run();
+  } catch (const std::exception& problem) {
+    std::puts(problem.what());
+    return 2;
+  }
 }
