--- a/src/contract/json_reader.cc
+++ b/src/contract/json_reader.cc
@@ -5,6 +5,8 @@
 #include <cstddef>
 #include <utility>
 
+#include "core/json_observer.h"
+
 namespace fireflyslip::internal {
 namespace {
 
@@ -26,6 +28,33 @@
   return json(value).dump();
 }
 
+/// \brief Collects the names that an object has twice.
+class name_checker : public nesting_checker {
+ public:
+  name_checker() : nesting_checker(kMaxNestingDepth) {}
+
+  const std::vector<std::string>& duplicates() const { return duplicates_; }
+
+  bool start_object(std::size_t elements) override {
+    names_.emplace_back();
+    return nesting_checker::start_object(elements);
+  }
+  bool end_object() override {
+    names_.pop_back();
+    return nesting_checker::end_object();
+  }
+  bool key(string_t& name) override {
+    if (!names_.back().insert(name).second) {
+      duplicates_.push_back(name);
+    }
+    return true;
+  }
+
+ private:
+  std::vector<std::set<std::string>> names_;  // of each enclosing object
+  std::vector<std::string> duplicates_;
+};
+
 }  // namespace
 
 std::optional<json> ParseDocument(std::string_view text,
@@ -34,39 +63,20 @@
     findings.push_back({kSyntax, "$", "larger than 1 MB"});
     return std::nullopt;
   }
-  bool too_deep = false;
-  std::vector<std::set<std::string>> names;
-  std::vector<std::string> duplicates;
-  const auto callback = [&](int depth, json::parse_event_t event,
-                            json& parsed) {
-    if (depth > kMaxNestingDepth) {
-      too_deep = true;
-      return false;
-    }
-    if (event == json::parse_event_t::object_start) {
-      names.emplace_back();
-    } else if (event == json::parse_event_t::object_end) {
-      names.pop_back();
-    } else if (event == json::parse_event_t::key && !names.empty()) {
-      const auto& name = parsed.get_ref<const std::string&>();
-      if (!names.back().insert(name).second) {
-        duplicates.push_back(name);
-      }
-    }
-    return true;
-  };
-  json document = json::parse(text, callback, /*allow_exceptions=*/false);
-  if (too_deep) {
+  name_checker names;
+  const bool valid = json::sax_parse(text, &names);
+  if (names.too_deep()) {
     findings.push_back({kSyntax, "$", "nested too deeply"});
     return std::nullopt;
   }
-  if (document.is_discarded()) {
+  if (!valid) {
     findings.push_back({kSyntax, "$", "not valid JSON"});
     return std::nullopt;
   }
-  for (const std::string& name : duplicates) {
+  for (const std::string& name : names.duplicates()) {
     findings.push_back({kSyntax, "$", "duplicate field \"" + name + "\""});
   }
+  json document = json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (!document.is_object()) {
     findings.push_back({kWrongType, "$", "must be an object"});
     return std::nullopt;
--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -404,14 +404,21 @@
   };
   callbacks.on_list = [this](const platform::store_listing& listing) {
     upstream_registry::listed list;
+    std::set<upstream_id> malformed;
     for (const platform::store_object& object : listing.objects) {
       auto entry = platform::DecodeUpstream(object.name, object.content);
       if (entry) {
         list.entries.push_back(*std::move(entry));
-      } else if (malformed_upstreams_.insert(upstream_id(object.name)).second) {
-        LogLine("event=upstream_unreadable name=" + object.name);
+        continue;
       }
+      upstream_id id(object.name);
+      if (!malformed_upstreams_.contains(id)) {
+        LogLine("event=upstream_unreadable name=" + object.name +
+                " bytes=" + std::to_string(object.content_bytes));
+      }
+      malformed.insert(std::move(id));
     }
+    malformed_upstreams_ = std::move(malformed);
     upstreams_listed_ = true;
     if (known_positions_.upstreams->revision > 0 &&
         listing.position.era > known_positions_.upstreams->era) {
@@ -526,7 +533,8 @@
 void catalog_feed::ApplyConfigurationObject(
     const platform::store_object& object) {
   if (object.name == platform::kConfigurationName) {
-    ApplyConfiguration(object.content, object.content.dump());
+    const nlohmann::json content = platform::ParseJson(object.content);
+    ApplyConfiguration(content, content.dump());
   }
 }
 
--- a/src/gateway/gateway_daemon.cc
+++ b/src/gateway/gateway_daemon.cc
@@ -11,6 +11,7 @@
 #include "gateway/gateway.h"
 #include "gateway/gateway_shutdown.h"
 #include "platform/wire_names.h"
+#include "runtime/thread_monitor.h"
 
 namespace fireflyslip {
 namespace {
@@ -190,6 +191,7 @@
   catalog_feed feed_;
   http_server ready_server_;
   http_server metrics_server_;
+  thread_monitor control_monitor_{control_, "control", counters_};
   bool draining_ = false;
 };
 
--- a/src/node/catalog_relay.cc
+++ b/src/node/catalog_relay.cc
@@ -140,10 +140,13 @@
 }
 
 void catalog_relay::SetConfiguration(const platform::store_object& object) {
-  const auto version = platform::FindUnsigned(object.content, "version");
-  if (object.name == platform::kConfigurationName && version &&
-      *version > configuration_.newest().id.version) {
-    configuration_.Set(*version, object.content.dump());
+  if (object.name != platform::kConfigurationName) {
+    return;
+  }
+  const nlohmann::json content = platform::ParseJson(object.content);
+  const auto version = platform::FindUnsigned(content, "version");
+  if (version && *version > configuration_.newest().id.version) {
+    configuration_.Set(*version, content.dump());
     compressed_configuration_.clear();
     encoded_configuration_.clear();
     compressed_services_.clear();
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "platform/catalog_codec.h"
+#include "platform/json_access.h"
 #include "platform/wire_names.h"
 
 namespace fireflyslip {
@@ -278,7 +279,8 @@
       co_await store_.List(kind, true, configuration_backoff_.timeout());
   if (IsOk(listed)) {
     for (const platform::store_object& object : ValueOf(listed).objects) {
-      if (ApplyConfiguration(object.content)) {
+      if (object.name == platform::kConfigurationName &&
+          ApplyConfiguration(platform::ParseJson(object.content))) {
         co_return true;
       }
     }
--- a/src/stager/stager_daemon.cc
+++ b/src/stager/stager_daemon.cc
@@ -7,6 +7,7 @@
 
 #include "fireflyslip/http.h"
 #include "fireflyslip/runtime.h"
+#include "runtime/thread_monitor.h"
 #include "stager/stager.h"
 
 namespace fireflyslip {
@@ -60,6 +61,7 @@
   if (!IsOk(served)) {
     return FailStart(ErrorOf(served));
   }
+  thread_monitor monitor(context, "main", counters);
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
   signals.async_wait(
       [&context](const boost::system::error_code&, int) { context.stop(); });
--- a/tests/adapter/catalog_codec_test.cc
+++ b/tests/adapter/catalog_codec_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "core/thread_cpu_time.h"
+#include "node/odd_entries.h"
 #include "platform/json_access.h"
 
 namespace fireflyslip::platform {
@@ -32,6 +34,10 @@
                "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
     "tenants": [{"name": "t", "apiKeys": ["k1", "k2"], "priority": 2}]})");
 
+  static std::optional<upstream_entry> Decode(const json& entry) {
+    return DecodeUpstream("i-1", entry.dump());
+  }
+
   const json entry_ = json::parse(R"({
     "service": "m1", "address": "10.0.0.1:80", "zone": "z", "version": "v1",
     "slots": 16, "state": "ready", "coldRemainingMs": 0, "sequence": 4,
@@ -92,7 +98,7 @@
 }
 
 TEST_F(catalog_codec_test, Upstream_Complete_AllFields) {
-  const auto entry = DecodeUpstream("i-1", entry_);
+  const auto entry = Decode(entry_);
   ASSERT_TRUE(entry);
   EXPECT_EQ(entry->slots, 16U);
   EXPECT_EQ(entry->model_versions.at(model_name("mod")), 3U);
@@ -105,15 +111,15 @@
        {"service", "address", "zone", "slots", "state", "version"}) {
     json missing = entry_;
     missing.erase(field);
-    EXPECT_FALSE(DecodeUpstream("i-1", missing)) << field;
+    EXPECT_FALSE(Decode(missing)) << field;
     json mistyped = entry_;
     mistyped[field] = json::array();
-    EXPECT_FALSE(DecodeUpstream("i-1", mistyped)) << field;
+    EXPECT_FALSE(Decode(mistyped)) << field;
   }
   json unknown = entry_;
   unknown["state"] = "resting";
-  EXPECT_FALSE(DecodeUpstream("i-1", unknown));
-  EXPECT_FALSE(DecodeUpstream("i-1", json("text")));
+  EXPECT_FALSE(Decode(unknown));
+  EXPECT_FALSE(Decode("text"));
 }
 
 // Guards against requests for an upstream whose address no replica can have,
@@ -151,12 +157,12 @@
                                 long_text + ":80"}) {
     json odd = entry_;
     odd["address"] = address;
-    EXPECT_FALSE(DecodeUpstream("i-1", odd)) << address.substr(0, 40);
+    EXPECT_FALSE(Decode(odd)) << address.substr(0, 40);
   }
   for (const char* address : {"10.0.0.1:1", "10.0.0.1:65535"}) {
     json sound = entry_;
     sound["address"] = address;
-    EXPECT_TRUE(DecodeUpstream("i-1", sound)) << address;
+    EXPECT_TRUE(Decode(sound)) << address;
   }
 }
 
@@ -169,17 +175,17 @@
           "99999999999999999999999", "-9223372036854775808"}) {
       json odd = entry_;
       odd[field] = json::parse(number);
-      EXPECT_FALSE(DecodeUpstream("i-1", odd)) << field << " " << number;
+      EXPECT_FALSE(Decode(odd)) << field << " " << number;
     }
   }
   for (const char* slots : {"0", "4294967296", "18446744073709551615"}) {
     json odd = entry_;
     odd["slots"] = json::parse(slots);
-    EXPECT_FALSE(DecodeUpstream("i-1", odd)) << slots;
+    EXPECT_FALSE(Decode(odd)) << slots;
   }
   json without_start = entry_;
   without_start.erase("born");
-  EXPECT_TRUE(DecodeUpstream("i-1", without_start));
+  EXPECT_TRUE(Decode(without_start));
 }
 
 // Guards against losing a whole list because one string is not valid UTF-8.
@@ -202,6 +208,36 @@
   EXPECT_TRUE(ParseJson(object).is_discarded());
 }
 
+// Guards against time that grows with the square of the rows, so that one value
+// of another writer stops the thread that reads it. Eight times as many rows
+// would take 64 times as long.
+TEST_F(catalog_codec_test, ParseJson_MoreRows_TimeInProportion) {
+  constexpr std::size_t kBytes = 25'000;
+  const std::string few = R"({"table":)" + TableRows(kBytes) + "}";
+  const std::string many = R"({"table":)" + TableRows(8 * kBytes) + "}";
+  EXPECT_FALSE(ParseJson(many).is_discarded());
+  EXPECT_LT(CpuTimeOf([&] { ParseJson(many); }),
+            24 * CpuTimeOf([&] { ParseJson(few); }));
+}
+
+// Guards against members of another writer that are built although nobody needs
+// them, and against a part of a value that is taken for the whole.
+TEST_F(catalog_codec_test, SelectMembers_Some_OthersPassedOver) {
+  constexpr std::string_view kNames[] = {"a", "b"};
+  EXPECT_EQ(SelectMembers(R"({"a": 1, "c": [1e400], "b": [{}]})", kNames),
+            json::parse(R"({"a": 1, "b": [{}]})"));
+  EXPECT_EQ(SelectMembers(R"({"c": 1})", kNames), json::object());
+  EXPECT_EQ(SelectMembers(R"({"a": 1, "a": 2})", kNames)["a"], 2);
+  EXPECT_TRUE(SelectMembers(R"({"a": 1, "b": 1e400})", kNames).is_discarded());
+  EXPECT_TRUE(SelectMembers(R"(["a", 1])", kNames).is_discarded());
+  EXPECT_TRUE(SelectMembers(R"({"a": 1)", kNames).is_discarded());
+  const std::string longest(kMaxSelectedBytes - 2, 'x');
+  EXPECT_FALSE(
+      SelectMembers(R"({"a": ")" + longest + "\"}", kNames).is_discarded());
+  EXPECT_TRUE(
+      SelectMembers(R"({"a": "x)" + longest + "\"}", kNames).is_discarded());
+}
+
 // Guards against losing members and elements beside one that cannot be read.
 TEST_F(catalog_codec_test, Split_UnreadablePart_OthersWhole) {
   const auto members = SplitObject(
--- a/tests/adapter/store_client_test.cc
+++ b/tests/adapter/store_client_test.cc
@@ -135,9 +135,8 @@
     return *changes;
   }
 
-  result<store_listing> List() {
+  result<store_listing> List(std::string kind = "config") {
     std::optional<result<store_listing>> listed;
-    const std::string kind = "config";
     boost::asio::co_spawn(
         context_,
         [&]() -> awaitable<void> {
@@ -169,6 +168,29 @@
   EXPECT_EQ(client_->newest_era(), 2U);
 }
 
+// Guards against a list that fails for good, so that no upstream is known,
+// because another writer has left many large objects beside them.
+TEST_F(store_client_era_test, List_ManyLargeContents_OthersListed) {
+  constexpr std::size_t kLarge = 20;
+  const auto page = [](const std::string& name, const std::string& spec,
+                       bool has_more) {
+    return R"({"entries":[{"metadata":{"name":")" + name + R"("},"spec":)" +
+           spec + R"(}],"at":4,"hasMore":)" + (has_more ? "true}" : "false}");
+  };
+  const std::string large = '"' + std::string(1'000'000, 'x') + '"';
+  for (std::size_t i = 0; i < kLarge; ++i) {
+    Respond(200, "", page("a" + std::to_string(i), large, true));
+  }
+  Respond(200, "", page("b", R"({"zone":"akl"})", false));
+  const auto listed = List("servers");
+  ASSERT_TRUE(IsOk(listed)) << ErrorOf(listed).detail;
+  const std::vector<store_object>& objects = ValueOf(listed).objects;
+  ASSERT_EQ(objects.size(), kLarge + 1);
+  EXPECT_EQ(objects.front().content, "");
+  EXPECT_EQ(objects.front().content_bytes, large.size());
+  EXPECT_EQ(objects.back().content, R"({"zone":"akl"})");
+}
+
 // Guards against an era that is noticed only when the store works again.
 TEST_F(store_client_era_test, Watch_Fails_EraKnown) {
   Respond(503, "2", "");
--- a/tests/contract/contract_test.cc
+++ b/tests/contract/contract_test.cc
@@ -7,6 +7,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "core/thread_cpu_time.h"
+
 namespace fireflyslip {
 namespace {
 
@@ -62,6 +64,17 @@
   }
 };
 
+// Guards against a check whose time grows with the square of the rows of a
+// document. Eight times as many would take 64 times as long.
+TEST_F(configuration_test, Check_MoreRows_TimeInProportion) {
+  const auto check = [](std::size_t rows) {
+    const std::string text = json{{"rows", json(rows, json::object())}}.dump();
+    return CpuTimeOf([&] { CheckConfiguration(text); });
+  };
+  constexpr std::size_t kRows = 10'000;
+  EXPECT_LT(check(8 * kRows), 24 * check(kRows));
+}
+
 // Guards against a serialized configuration that parses to a different one.
 TEST_F(configuration_test, ToJson_ValidConfiguration_RoundTrips) {
   const auto parsed = ParseConfiguration(ValidConfiguration().dump());
--- a/tests/gateway/catalog_feed_test.cc
+++ b/tests/gateway/catalog_feed_test.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "core/thread_cpu_time.h"
 #include "node/catalog_relay.h"
 #include "node/fake_store.h"
 #include "node/odd_entries.h"
@@ -24,7 +25,9 @@
     settings_.platform = store_.endpoint();
     settings_.data_centre = data_centre_id("akl");
     catalog_feed::handlers callbacks;
-    callbacks.on_deployment = [](const auto&) {};
+    callbacks.on_deployment = [this](const auto& deployment) {
+      configuration_ = deployment->version;
+    };
     callbacks.on_upstreams = [this](const auto& upstreams) {
       upstreams_ = *upstreams;
     };
@@ -82,6 +85,7 @@
   fake_store store_;
   node_settings settings_;
   upstream_map upstreams_;
+  std::uint64_t configuration_ = 0;
   int responses_ = 0;
   int confirmations_ = 0;
   std::unique_ptr<catalog_feed> feed_;
@@ -113,6 +117,31 @@
   ExpectOthersFollowed(DeepEntries());
 }
 
+// Guards against a large entry of another writer that keeps the control thread
+// busy, so that dropped routes stay in force and sound upstreams are not heard
+// of. The entry is written again and again.
+TEST_F(catalog_feed_test, Upstream_Large_OthersAndConfigurationFollowed) {
+  // Time in which a configuration must be in force.
+  constexpr seconds kApplyTime{2};
+  store_.PutUpstream("i-0", "127.0.0.1:80");
+  store_.PutConfiguration(1);
+  feed_->Start();
+  ASSERT_TRUE(RunUntil([&] { return Knows("i-0") && configuration_ == 1; }));
+  std::uint64_t version = 1;
+  for (const odd_entry& entry : LargeEntries()) {
+    SCOPED_TRACE(entry.description);
+    const std::string sound = "i-" + std::to_string(++version);
+    const duration begin = ThreadCpuTime();
+    store_.PutText(platform::kUpstreamKind, "odd", entry.spec);
+    store_.PutConfiguration(version);
+    store_.PutUpstream(sound, "127.0.0.1:81");
+    ASSERT_TRUE(
+        RunUntil([&] { return Knows(sound) && configuration_ == version; }));
+    EXPECT_LT(ThreadCpuTime() - begin, kApplyTime);
+    EXPECT_FALSE(Knows("odd"));
+  }
+}
+
 /// \brief A gateway's control plane behind a relay, at a store that comes back
 /// from an older copy.
 class catalog_feed_restore_test : public testing::Test {
--- a/tests/node/odd_entries.h
+++ b/tests/node/odd_entries.h
@@ -88,6 +88,32 @@
   return entries;
 }
 
+/// \brief Array of small objects.
+inline std::string TableRows(std::size_t bytes) {
+  std::string text = "[";
+  for (std::size_t i = 0; text.size() < bytes; ++i) {
+    text += (i > 0 ? "," : "") + (R"({"h":)" + std::to_string(i % 100)) + "}";
+  }
+  return text + "]";
+}
+
+/// \brief Entries about as long as an object of the store may be, which are no
+/// upstreams, or state more than is read of one.
+inline std::vector<odd_entry> LargeEntries() {
+  constexpr std::size_t kBytes = 1'000'000;
+  std::string members;
+  for (std::size_t i = 0; members.size() < kBytes; ++i) {
+    members += (i > 0 ? ",\"" : "{\"") + std::to_string(i) + "\":{}";
+  }
+  return {
+      {"table of small rows", R"({"table":)" + TableRows(kBytes) + "}"},
+      {"rows only", TableRows(kBytes)},
+      {"many members", members + "}"},
+      {"many models", UpstreamSpec("modelList", TableRows(kBytes))},
+      {"long name", UpstreamSpec("zone", '"' + std::string(kBytes, 'z') + '"')},
+      {"address of rows", UpstreamSpec("address", TableRows(kBytes))}};
+}
+
 }  // namespace fireflyslip
 
 #endif  // TESTS_NODE_ODD_ENTRIES_H_
