--- a/tests/retry/crash_attribution_test.cc
+++ b/tests/retry/crash_attribution_test.cc
@@ -337,8 +337,7 @@
   EXPECT_THAT(core_.blocked_combinations(), IsEmpty());
 }
 
-// The same with sound requests that were beside the cause, and when other
-// gateways tell of the crashes.
+// The same beside sound requests, and when other gateways tell of the crashes.
 TEST_F(crash_attribution_test, Crash_NewPartAlsoBeside_OnlyBothBlocked) {
   Crash(10, {{kRare, kCrashing}, {kRare}});
   Crash(11, {{kRare, kCrashing}});
@@ -352,8 +351,7 @@
   }
 }
 
-// Guards against a cause that goes on to crash upstreams with one new part
-// after the other.
+// Guards against a cause that goes on with one new part after the other.
 TEST_F(crash_attribution_test, Crash_CauseWithOtherNewParts_BlockedAlone) {
   constexpr prompt_part kNew = 50;
   Crash(10, {{kRare, kCrashing}});
@@ -374,8 +372,7 @@
   EXPECT_FALSE(core_.IsBlocked({kNew, kRare}));
 }
 
-// Guards against a new part that is refused after one crash with another cause,
-// at which a sound request with it was.
+// Guards against refusing a new part after one crash with another cause.
 TEST_F(crash_attribution_test, Crash_NewPartOnceWithoutCause_OnlyBothBlocked) {
   Crash(10, {{kRare, kCrashing}});
   Crash(11, {{kRare, kCrashing}});
