Keep parts that are with the cause at few crashes out of its combination

With 58 upstreams and 44 gateways a cause could go on to crash upstreams, blocked only together with parts that no request holds.

Cause: companions were counted by events. Where many upstreams crash within one event, any frequent part is with the cause at some of its crashes.

--- a/src/retry/crash_attribution.cc
+++ b/src/retry/crash_attribution.cc
@@ -210,8 +210,10 @@
         is_new |= cleared && !found->second.cleared;
         found->second.cleared |= cleared;
         found->second.at = std::min(found->second.at, at);
+        is_new |= AddCompanions(found->second.companions, sighting.companions);
+      } else {
+        is_new |= AddCrash(*own, crash, {cleared, at, sighting.companions});
       }
-      is_new |= AddCrash(*own, crash, {cleared, at, sighting.companions});
     }
     if (is_new) {
       own->changed_at = std::max(own->changed_at, now - other.age);
@@ -460,6 +462,7 @@
   };
   std::size_t events = 0;
   std::map<prompt_part, std::size_t> joint_events;
+  std::map<prompt_part, std::size_t> joint_crashes;
   for (auto item = sightings.begin(); item != sightings.end(); ++events) {
     const time_point first = item->first;
     std::set<prompt_part> companions;
@@ -469,6 +472,7 @@
            known.crashes.at(item->second).companions) {
         if (is_suspect(companion, item->second)) {
           companions.insert(companion);
+          ++joint_crashes[companion];
         }
       }
     }
@@ -478,8 +482,11 @@
   }
   std::set<prompt_part> combination = {part};
   for (const auto& [companion, joint] : joint_events) {
+    // Where many upstreams crash within one event, any frequent part is with
+    // the cause at some of them.
     if (joint >= policy_.blocking_events &&
-        events - joint < kSeparatingEvents) {
+        events - joint < kSeparatingEvents &&
+        joint_crashes.at(companion) * 2 > sightings.size()) {
       combination.insert(companion);
     }
   }
