--- a/include/fireflyslip/catalog.h
+++ b/include/fireflyslip/catalog.h
@@ -18,6 +18,7 @@
 #include "fireflyslip/catalog/upstream_entry.h"
 #include "fireflyslip/catalog/upstream_history.h"
 #include "fireflyslip/catalog/upstream_registry.h"
+#include "fireflyslip/catalog/version_history.h"
 #include "fireflyslip/catalog/version_targets.h"
 #include "fireflyslip/catalog/watch_freshness.h"
 
--- a/include/fireflyslip/catalog/change_age.h
+++ b/include/fireflyslip/catalog/change_age.h
@@ -45,8 +45,13 @@
   /// \brief Time before which a change that arrives now cannot have been made.
   time_point EarliestChange(time_point now) {
     Observe(now);
-    const time_point known_since = current_as_of_.value_or(unknown_before_);
-    return known_since < interrupted_at_ ? known_since : now;
+    return known_until() < interrupted_at_ ? known_until() : now;
+  }
+
+  /// \brief Time up to which all changes are known, by assumption before the
+  /// first confirmation.
+  time_point known_until() const {
+    return current_as_of_.value_or(unknown_before_);
   }
 
   /// \brief Time up to which all changes are known; empty before the first
--- a/include/fireflyslip/catalog/version_targets.h
+++ b/include/fireflyslip/catalog/version_targets.h
@@ -4,8 +4,8 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <vector>
 
+#include "fireflyslip/catalog/version_history.h"
 #include "fireflyslip/core/ids.h"
 #include "fireflyslip/core/time.h"
 
@@ -57,11 +57,6 @@
                                          time_point now) const;
 
  private:
-  struct published_version {
-    std::uint64_t version = 0;
-    time_point since;
-  };
-
   /// Time without a response of the platform that counts as an outage; longer
   /// than the interval between responses to watches.
   static constexpr milliseconds kOutage{3300};
@@ -73,7 +68,7 @@
   // Postponed by pauses of the process, so that they do not count as silence.
   std::optional<time_point> last_response_;
   time_point grace_until_;
-  std::map<model_name, std::vector<published_version>> models_;  // by version
+  std::map<model_name, version_history> models_;
 };
 
 }  // namespace fireflyslip
--- a/src/catalog/version_targets.cc
+++ b/src/catalog/version_targets.cc
@@ -6,15 +6,9 @@
                               std::uint64_t version,
                               time_point published_at,
                               time_point now) {
-  std::vector<published_version>& versions = models_[model];
-  if (!versions.empty() && versions.back().version >= version) {
-    return;
-  }
-  // Removes versions that are superseded by one that is past its rollout time.
-  while (versions.size() > 1 && versions[1].since + rollout_ <= now) {
-    versions.erase(versions.begin());
-  }
-  versions.push_back({version, published_at});
+  version_history& history = models_[model];
+  history.RemoveSupersededBy(now - rollout_);
+  history.Add({version, published_at});
 }
 
 void version_targets::Observe(time_point now) {
@@ -34,9 +28,7 @@
 
 std::uint64_t version_targets::Newest(const model_name& model) const {
   const auto found = models_.find(model);
-  return found == models_.end() || found->second.empty()
-             ? 0
-             : found->second.back().version;
+  return found == models_.end() ? 0 : found->second.newest();
 }
 
 std::optional<time_point> version_targets::SupersededAt(const model_name& model,
@@ -46,12 +38,12 @@
   if (found == models_.end() || IsOutage(now)) {
     return std::nullopt;
   }
-  for (const published_version& entry : found->second) {
-    if (entry.version > version) {
-      return entry.since + rollout_;
-    }
+  const std::optional<time_point> superseded =
+      found->second.SupersededNotBefore(version);
+  if (!superseded) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return *superseded + rollout_;
 }
 
 }  // namespace fireflyslip
--- a/src/gateway/catalog_feed.cc
+++ b/src/gateway/catalog_feed.cc
@@ -325,12 +325,8 @@
       std::max(*known_positions_.versions, answer.versions->position);
   // The answer may have been delayed by as much as the poll took.
   const time_point sent_by_relay = query_sent + answer.held;
-  for (const auto& [model, published] : answer.versions->versions) {
-    const time_point published_at = sent_by_relay - published.age;
-    SetTargetVersion(
-        model, published.version,
-        std::max(published_at,
-                 version_age_.current_as_of().value_or(published_at)));
+  for (const auto& [model, relayed] : answer.versions->versions) {
+    ApplyRelayedVersions(model, relayed, sent_by_relay);
   }
   version_age_.ConfirmCurrent(sent_by_relay - answer.versions->age);
 
@@ -569,22 +565,45 @@
     LogLine("event=version_unreadable name=" + object.name);
     return;
   }
-  SetTargetVersion(target->model, target->version,
-                   version_age_.EarliestChange(MonotonicNow()));
+  SetTargetVersion(
+      target->model,
+      {target->version, version_age_.EarliestChange(MonotonicNow())});
+}
+
+void catalog_feed::ApplyRelayedVersions(
+    const model_name& model,
+    const std::vector<relayed_version>& relayed,
+    time_point sent_by_relay) {
+  std::vector<version_publication> publications;
+  publications.reserve(relayed.size());
+  for (const relayed_version& published : relayed) {
+    publications.push_back({published.version, sent_by_relay - published.age});
+  }
+  const std::vector<version_publication> learned =
+      LearnPublications(target_versions_[model], publications, version_age_);
+  if (!learned.empty() &&
+      learned.front().version < publications.front().version) {
+    LogLine("event=versions_missed model=" + model.value() +
+            " newest=" + std::to_string(learned.front().version));
+  }
+  for (const version_publication& publication : learned) {
+    SetTargetVersion(model, publication);
+  }
 }
 
 void catalog_feed::SetTargetVersion(const model_name& model,
-                                    std::uint64_t version,
-                                    time_point published_at) {
+                                    const version_publication& publication) {
   std::uint64_t& known = target_versions_[model];
-  if (version <= known) {
+  if (publication.version <= known) {
     return;
   }
-  known = version;
+  known = publication.version;
   LogLine("event=version_named model=" + model.value() +
-          " version=" + std::to_string(version) + " max_age_ms=" +
-          std::to_string((MonotonicNow() - published_at).count() / 1000));
-  handlers_.on_target_version(model, version, published_at);
+          " version=" + std::to_string(publication.version) + " max_age_ms=" +
+          std::to_string((MonotonicNow() - publication.not_before) /
+                         milliseconds(1)));
+  handlers_.on_target_version(model, publication.version,
+                              publication.not_before);
 }
 
 void catalog_feed::HandleUpstreams(const upstream_registry::event& event) {
--- a/src/gateway/catalog_feed.h
+++ b/src/gateway/catalog_feed.h
@@ -81,9 +81,12 @@
   /// \brief Confirms the keys as of the announcements that the configuration in
   /// force covers.
   void ConfirmAnnounced();
+  void ApplyRelayedVersions(const model_name& model,
+                            const std::vector<relayed_version>& relayed,
+                            time_point sent_by_relay);
+  /// \brief Reports a version if it is newer than those known.
   void SetTargetVersion(const model_name& model,
-                        std::uint64_t version,
-                        time_point published_at);
+                        const version_publication& publication);
   void HandleUpstreams(const upstream_registry::event& event);
 
   boost::asio::io_context& context_;
--- a/src/node/catalog_relay.cc
+++ b/src/node/catalog_relay.cc
@@ -66,6 +66,7 @@
                              std::uint64_t seed)
     : context_(context),
       durations_(settings),
+      superseded_after_(settings.SupersededAfter()),
       data_centre_(settings.data_centre),
       timers_(context),
       server_(context,
@@ -255,9 +256,13 @@
 
 void catalog_relay::SetVersion(const platform::store_object& object) {
   const auto target = platform::DecodeTargetVersion(object.content);
-  if (target && target->version > versions_[target->model].version) {
-    const time_point published_at = version_age_.EarliestChange(MonotonicNow());
-    versions_[target->model] = {target->version, published_at};
+  if (!target) {
+    return;
+  }
+  const time_point now = MonotonicNow();
+  version_history& history = versions_[target->model];
+  if (history.Add({target->version, version_age_.EarliestChange(now)})) {
+    history.RemoveSupersededBy(now - superseded_after_);
     versions_position_.revision = 0;  // set when the response is complete
   }
 }
@@ -504,9 +509,11 @@
   if (query.versions) {
     answer.versions = {
         versions_position_, now - *version_age_.current_as_of(), {}};
-    for (const auto& [model, known] : versions_) {
-      answer.versions->versions[model] = {known.version,
-                                          now - known.published_at};
+    for (const auto& [model, history] : versions_) {
+      std::vector<relayed_version>& relayed = answer.versions->versions[model];
+      for (const version_publication& known : history.publications()) {
+        relayed.push_back({known.version, now - known.not_before});
+      }
     }
   }
   if (query.evacuations && watches_evacuations()) {
--- a/src/node/catalog_relay.h
+++ b/src/node/catalog_relay.h
@@ -96,6 +96,7 @@
 
   boost::asio::io_context& context_;
   const watch_durations durations_;
+  const duration superseded_after_;
   const data_centre_id data_centre_;
   timer_service timers_;
   http_server server_;
@@ -122,11 +123,7 @@
   /// By data centre of the processes that use them; computed when needed.
   mutable std::map<data_centre_id, std::vector<std::string>> relays_;
   std::optional<time_point> versions_confirmed_;
-  struct known_version {
-    std::uint64_t version = 0;
-    time_point published_at;  // not before
-  };
-  std::map<model_name, known_version> versions_;
+  std::map<model_name, version_history> versions_;
   change_age version_age_;
   store_position versions_position_;  // of their last change
   std::optional<time_point> evacuations_confirmed_;
--- a/src/node/relay_message.cc
+++ b/src/node/relay_message.cc
@@ -236,10 +236,13 @@
   json versions;
   if (answer.versions) {
     json list = json::array();
-    for (const auto& [model, published] : answer.versions->versions) {
-      list.push_back(model.value());
-      list.push_back(published.version);
-      list.push_back(Microseconds(published.age));
+    // Older processes use the last of several publications of a model.
+    for (const auto& [model, publications] : answer.versions->versions) {
+      for (const relayed_version& published : publications) {
+        list.push_back(model.value());
+        list.push_back(published.version);
+        list.push_back(Microseconds(published.age));
+      }
     }
     versions = json::array({answer.versions->position.revision,
                             Microseconds(answer.versions->age), std::move(list),
@@ -316,7 +319,8 @@
     versions.age = reader_of_versions.Duration();
     array_reader list(reader_of_versions.Next());
     while (!list.AtEnd()) {
-      relayed_version& published = versions.versions[model_name(list.Text())];
+      relayed_version& published =
+          versions.versions[model_name(list.Text())].emplace_back();
       published.version = list.Unsigned();
       published.age = list.Duration();
     }
--- a/src/node/relay_message.h
+++ b/src/node/relay_message.h
@@ -59,7 +59,9 @@
   store_position position;
   /// Time since the relay's view was current, when the answer was sent.
   duration age = {};
-  std::map<model_name, relayed_version> versions;
+  /// Recent publications of each model, oldest first. An older relay states the
+  /// newest only.
+  std::map<model_name, std::vector<relayed_version>> versions;
 
   auto operator<=>(const relayed_versions&) const = default;
 };
--- a/src/stager/stager.cc
+++ b/src/stager/stager.cc
@@ -20,8 +20,6 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusBusy = 503;
-/// Lowest version; replicas may hold it before any version is published.
-constexpr std::uint64_t kFirstVersion = 1;
 /// Long, because keep-alive probes detect an unresponsive connection before the
 /// end of a watch.
 constexpr seconds kVersionWatch{20};
@@ -176,8 +174,10 @@
     }
     versions_position_ =
         std::max(versions_position_, answer.versions->position);
-    for (const auto& [model, published] : answer.versions->versions) {
-      SetNewestVersion(model, published.version);
+    for (const auto& [model, publications] : answer.versions->versions) {
+      for (const relayed_version& published : publications) {
+        SetNewestVersion(model, published.version);
+      }
     }
     versions_listed_ = true;
     relay_client_.SetRelays(answer.relays);
@@ -210,7 +210,7 @@
 
 std::uint64_t stager::newest_version() const {
   const auto found = newest_versions_.find(model_);
-  return std::max(kFirstVersion,
+  return std::max(kFirstModelVersion,
                   found == newest_versions_.end() ? 0 : found->second);
 }
 
--- a/tests/node/catalog_relay_test.cc
+++ b/tests/node/catalog_relay_test.cc
@@ -70,7 +70,7 @@
       }
       added.configuration = answer.configuration->version;
       const relayed_version& version =
-          answer.versions->versions.begin()->second;
+          answer.versions->versions.begin()->second.back();
       added.version = version.version;
       added.version_published_at = sent + answer.held - version.age;
       added.current_as_of = sent + answer.held - answer.configuration->age;
--- a/tests/node/relay_message_test.cc
+++ b/tests/node/relay_message_test.cc
@@ -38,8 +38,8 @@
         {{upstream_id("a"), Entry("a")}, {upstream_id("b"), std::nullopt}}};
     answer.versions = {{1, 12},
                        milliseconds(700),
-                       {{model_name("m"), {3, seconds(2)}},
-                        {model_name("other"), {7, seconds(1)}}}};
+                       {{model_name("m"), {{2, seconds(9)}, {3, seconds(2)}}},
+                        {model_name("other"), {{7, seconds(1)}}}}};
     answer.relays = {"10.1.0.40", "10.1.0.41"};
     answer.evacuations = {{2, 30}, {data_centre_id("akl")}};
     return answer;
@@ -83,6 +83,18 @@
   EXPECT_FALSE(answer->evacuations);
 }
 
+// Guards against an older process that takes an earlier version for the newest:
+// it uses the last publication that is stated for a model.
+TEST_F(relay_message_test, Answer_SeveralPublications_NewestLast) {
+  const auto content = Decompress(EncodeRelayAnswer(Answer()), 1UL << 20);
+  ASSERT_TRUE(content);
+  const nlohmann::json message = nlohmann::json::from_cbor(*content);
+  const nlohmann::json& versions = message[5][2];
+  EXPECT_EQ(versions,
+            nlohmann::json::array(
+                {"m", 2, 9'000'000, "m", 3, 2'000'000, "other", 7, 1'000'000}));
+}
+
 // Guards against trust in a relay that has not noticed a restore.
 TEST_F(relay_message_test, IsOfOlderEra_AnyKindOlder_True) {
   const relay_answer answer = Answer();
