--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <exception>
 #include <utility>
 
 #include "fireflyslip/core/rendezvous.h"
@@ -324,8 +325,20 @@
   const auto request_exchange =
       std::make_shared<exchange>(*this, id, std::move(request), writer);
   exchanges_.emplace(id, request_exchange.get());
-  co_await request_exchange->Run();
+  std::exception_ptr failure;
+  try {
+    co_await request_exchange->Run();
+  } catch (const std::exception&) {
+    failure = std::current_exception();
+  }
   exchanges_.erase(id);
+  if (failure) {
+    // Whichever of them it was, its place and its attempt are free again.
+    Handle(dispatcher::cancel_waiting{id});
+    Handle(dispatcher::attempt_completed{id, attempt_status::kAbandoned});
+    crashes_.AttemptEnded(id, attempt_end::kResponse, MonotonicNow());
+    std::rethrow_exception(failure);
+  }
 }
 
 awaitable<void> gateway::ReceiveReports() {
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -73,7 +73,12 @@
           ? std::move(request.shared_body)
           : std::make_shared<const std::string>(std::move(request.body));
   message.body() = {sent->body->data(), sent->body->size()};
-  message.prepare_payload();
+  if (sent->body->empty()) {
+    message.prepare_payload();
+  } else {
+    // prepare_payload() throws for methods that should have no body.
+    message.content_length(sent->body->size());
+  }
   return sent;
 }
 
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -12,12 +12,14 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/beast/ssl.hpp>
+#include <exception>
 #include <set>
 #include <utility>
 
 #include "fireflyslip/http/memory_budget.h"
 #include "fireflyslip/http/problem.h"
 #include "fireflyslip/http/socket_options.h"
+#include "fireflyslip/runtime/log.h"
 
 namespace fireflyslip {
 namespace {
@@ -114,6 +116,7 @@
   ~stream_response_writer() override { *alive_ = false; }
 
   awaitable<bool> Send(http_response response) override {
+    begun_ = true;
     http::response<http::string_body> message{
         static_cast<http::status>(response.status), 11};
     SetHeader(message, response.fields);
@@ -127,6 +130,7 @@
   }
 
   awaitable<bool> Begin(http_response head) override {
+    begun_ = true;
     http::response<http::empty_body> message{
         static_cast<http::status>(head.status), 11};
     SetHeader(message, head.fields);
@@ -178,6 +182,10 @@
     }
   }
 
+  /// \brief Whether any part of a response may have been sent.
+  bool begun() const { return begun_; }
+  void CloseAfterResponse() { keep_alive_ = false; }
+
   /// \brief Whether the connection can serve another request.
   bool reusable() const { return done_ && !failed_ && keep_alive_; }
 
@@ -216,6 +224,7 @@
   client_connection& connection_;
   bool keep_alive_;
   const bool* close_requested_;  // may be null
+  bool begun_ = false;
   bool done_ = false;
   bool failed_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
@@ -338,6 +347,24 @@
   }
 
  private:
+  using connection_set = std::set<client_connection*>;
+
+  /// \brief Element of a set for the lifetime of this object.
+  class registration {
+   public:
+    registration(connection_set& connections, client_connection& connection)
+        : connections_(connections), connection_(connection) {
+      connections_.insert(&connection_);
+    }
+    registration(const registration&) = delete;
+    registration& operator=(const registration&) = delete;
+    ~registration() { connections_.erase(&connection_); }
+
+   private:
+    connection_set& connections_;
+    client_connection& connection_;
+  };
+
   static awaitable<void> Accept(std::shared_ptr<state> self) {
     while (!self->draining_) {
       beast::error_code code;
@@ -408,7 +435,7 @@
       co_await writer.Send(ProblemResponse(problem));
       co_return;
     }
-    connections_.insert(&connection);
+    const registration registered(connections_, connection);
     beast::flat_buffer buffer;
     bool reusable = !stopped_;
     while (reusable) {
@@ -417,7 +444,6 @@
       reusable = reusable && !stopped_ &&
                  (!draining_ || buffer.size() > 0 || connection.HasData());
     }
-    connections_.erase(&connection);
   }
 
   /// \brief Serves one request; returns whether the connection can be reused.
@@ -475,11 +501,34 @@
     stream_response_writer<Stream> writer(stream, connection, keep_alive,
                                           &close_requested_);
     beast::get_lowest_layer(stream).expires_never();
-    co_await handle_(ToRequest(parser.release()), writer);
+    std::optional<error> failure;
+    try {
+      co_await handle_(ToRequest(parser.release()), writer);
+    } catch (const std::exception& thrown) {
+      failure = error{error_kind::kInternalError, thrown.what()};
+    }
+    if (failure) {
+      co_await EndAfterFailure(*failure, writer);
+    }
     connection.set_busy(false);
     co_return writer.reusable();
   }
 
+  /// \brief Ends a response whose handler has thrown an exception.
+  template <typename Stream>
+  awaitable<void> EndAfterFailure(const error& failure,
+                                  stream_response_writer<Stream>& writer) {
+    LogLine("event=request_handler_failed reason=\"" + failure.detail + "\"");
+    writer.CloseAfterResponse();
+    if (writer.begun()) {
+      writer.Abort();
+      co_return;
+    }
+    const error problem{error_kind::kInternalError,
+                        "the request could not be handled"};
+    co_await writer.Send(ProblemResponse(problem));
+  }
+
   static error TooMuch() {
     return {error_kind::kOverloaded,
             "the bodies of all requests exceed the limit"};
@@ -517,7 +566,7 @@
   std::shared_ptr<memory_budget> body_memory_;
   handler handle_;
   asio::ssl::context* tls_;
-  std::set<client_connection*> connections_;
+  connection_set connections_;
   std::size_t starting_ = 0;  // accepted, but not in connections_ yet
   bool draining_ = false;
   bool stopped_ = false;
--- a/tests/gateway/gateway_test.cc
+++ b/tests/gateway/gateway_test.cc
@@ -492,6 +492,32 @@
   EXPECT_EQ(ValueOf(answer).body, "ok");
 }
 
+// Guards against an exception within a request that leaves a pointer to it for
+// the stop of the gateway, keeps its place at the upstream, or ends it without
+// an answer. Here the name of the workspace is too long for a header field.
+TEST_F(gateway_test, Request_CannotBeForwarded_500AndPlaceFree) {
+  constexpr std::size_t kMaxFieldBytes = 65'535;
+  Configure();
+  upstream& server = AddUpstream(RespondWith(MakeResponse(200, "ok")));
+  auto catalog = std::make_shared<deployment>();
+  catalog->routes =
+      route_table({MakeRoute("/book/", request_idempotency::kNonIdempotent)});
+  catalog->keys_required = true;
+  catalog->keys["key"] = {workspace_id(std::string(kMaxFieldBytes + 1, 'w')),
+                          std::nullopt};
+  gateway_->SetDeployment(catalog);
+  for (std::size_t i = 0; i < 2 * entries_.begin()->second.slots; ++i) {
+    const auto answer = Call(MakeRequest("/book/1"));
+    ASSERT_TRUE(IsOk(answer)) << ErrorOf(answer).detail;
+    EXPECT_EQ(ValueOf(answer).status, 500);
+  }
+  EXPECT_TRUE(server.received.empty());
+  Configure();
+  EXPECT_EQ(CallStatus(MakeRequest("/book/1")), 200);
+  gateway_->StartDraining(MonotonicNow() + seconds(10));
+  EXPECT_EQ(gateway_->requests_in_progress(), 0U);
+}
+
 // Guards against long requests that together take the memory of the gateway, or
 // that keep it from serving short ones.
 TEST_F(gateway_test, LongRequests_ExceedMemory_RefusedWithoutRun) {
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <exception>
 #include <optional>
 #include <string>
 #include <utility>
@@ -37,8 +38,9 @@
     endpoint_ = {"127.0.0.1", ValueOf(port)};
   }
 
-  awaitable<void> Serve(http_request /*request*/, response_writer& writer) {
+  awaitable<void> Serve(http_request request, response_writer& writer) {
     ++served_;
+    received_ = std::move(request);
     http_response answer;
     co_await writer.Send(std::move(answer));
   }
@@ -66,6 +68,7 @@
   http_client client_{context_};
   http_endpoint endpoint_;
   std::size_t served_ = 0;
+  http_request received_;  // the last one
 };
 
 // Guards against a request that is sent after its timeout, for example an order
@@ -79,6 +82,30 @@
   EXPECT_EQ(served_, 1U);
 }
 
+// Guards against an exception for a method that should have no body: whoever
+// forwards such a request would end without an answer.
+TEST_F(http_client_test, Request_TraceWithBody_SentUnchanged) {
+  std::exception_ptr thrown;
+  std::optional<result<http_response>> answer;
+  http_request request;
+  request.method = "TRACE";
+  request.body = "body";
+  boost::asio::co_spawn(
+      context_,
+      [&]() -> awaitable<void> {
+        answer.emplace(co_await client_.Request(endpoint_, std::move(request),
+                                                seconds(5)));
+      },
+      [&](std::exception_ptr failure) { thrown = std::move(failure); });
+  while (!answer && !thrown) {
+    context_.run_one();
+  }
+  ASSERT_FALSE(thrown);
+  ASSERT_TRUE(IsOk(*answer));
+  EXPECT_EQ(received_.method, "TRACE");
+  EXPECT_EQ(received_.body, "body");
+}
+
 // Guards against the copy of a refusal that is taken for the response to the
 // next request, and against a new connection for requests that are not refused.
 TEST(http_client_refusal_test, Request_RefusalsRepeated_OwnResponsesReturned) {
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -41,6 +42,13 @@
 
   awaitable<void> Serve(http_request request, response_writer& writer) {
     ++served_;
+    if (request.target == "/throw-after-begin") {
+      http_response head;
+      co_await writer.Begin(std::move(head));
+    }
+    if (request.target.starts_with("/throw")) {
+      throw std::invalid_argument("not handled");
+    }
     http_response answer;
     answer.body = "answer to " + request.body;
     co_await writer.Send(std::move(answer));
@@ -240,5 +248,33 @@
                         "400\r\n" + std::string(1024, 'x') + "\r\n"}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Guards against a request that ends without an answer because its handler has
+// thrown an exception, and against the use of its connection when the server is
+// drained.
+TEST_F(http_server_drain_test, Handler_Throws_AnsweredAndConnectionForgotten) {
+  for (const std::string target : {"/throw", "/throw-after-begin"}) {
+    tcp::socket socket = Connect();
+    Send(socket, "GET " + target + " HTTP/1.1\r\nHost: a.example\r\n\r\n");
+    RunFor(milliseconds(50));
+    boost::system::error_code closed;
+    const std::string received = Receive(socket, closed);
+    EXPECT_EQ(closed, boost::asio::error::eof) << target;
+    if (target == "/throw") {
+      EXPECT_TRUE(received.starts_with("HTTP/1.1 500")) << received;
+      EXPECT_NE(received.find("Connection: close"), std::string::npos);
+    } else {
+      // Without the last chunk, the client knows that the body is incomplete.
+      EXPECT_FALSE(received.ends_with("0\r\n\r\n")) << received;
+    }
+  }
+  tcp::socket other = Connect();
+  Send(other, std::string(kHead) + kBody);
+  server_.DisableKeepAlive();
+  server_.Drain();
+  RunFor(milliseconds(50));
+  ExpectAnswer(other);
+  EXPECT_EQ(server_.requests_in_progress(), 0U);
+}
+
 }  // namespace
 }  // namespace fireflyslip
