--- a/src/gateway/catalog_feed.h
+++ b/src/gateway/catalog_feed.h
@@ -26,7 +26,9 @@
   struct handlers {
     std::function<void(std::shared_ptr<const deployment>)> on_deployment;
     std::function<void(std::shared_ptr<const upstream_map>)> on_upstreams;
-    /// The version was not published before `published_at`.
+    /// The version was not published before `published_at`. Called in the order
+    /// of the versions, and for one that is only presumed to have been
+    /// published if neither this process nor its relay can know.
     std::function<
         void(model_name, std::uint64_t version, time_point published_at)>
         on_target_version;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -333,7 +333,8 @@
   }
   exchanges_.erase(id);
   if (failure) {
-    // Whichever of them it was, its place and its attempt are free again.
+    // The request may have waited for a place, or held one. An event that does
+    // not apply is ignored.
     Handle(dispatcher::cancel_waiting{id});
     Handle(dispatcher::attempt_completed{id, attempt_status::kAbandoned});
     crashes_.AttemptEnded(id, attempt_end::kResponse, MonotonicNow());
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -349,7 +349,7 @@
  private:
   using connection_set = std::set<client_connection*>;
 
-  /// \brief Element of a set for the lifetime of this object.
+  /// \brief Lists a connection until its coroutine ends, also by an exception.
   class registration {
    public:
     registration(connection_set& connections, client_connection& connection)
