--- a/review/rig-3/rig.cc
+++ b/review/rig-3/rig.cc
@@ -106,19 +106,6 @@
   return port;
 }
 
-std::uint16_t FreeRange(const std::string& address) {
-  for (;;) {
-    const std::uint16_t first = FreePort(address);
-    bool is_free = first != 0 && first < UINT16_MAX - kInternalPorts;
-    for (std::uint16_t i = 0; is_free && i < kInternalPorts; ++i) {
-      is_free = FreePort(address, first + i) != 0;
-    }
-    if (is_free) {
-      return first;
-    }
-  }
-}
-
 std::string Lower(std::string_view text) {
   std::string lower(text);
   std::transform(lower.begin(), lower.end(), lower.begin(), [](char c) {
@@ -134,6 +121,21 @@
   return value == nullptr || std::string_view(value) != "0";
 }
 
+std::uint16_t FreePorts(const std::vector<std::string>& addresses) {
+  for (;;) {
+    const std::uint16_t first = FreePort(addresses.front());
+    bool is_free = first != 0 && first < UINT16_MAX - kInternalPorts;
+    for (const std::string& address : addresses) {
+      for (std::uint16_t i = 0; is_free && i < kInternalPorts; ++i) {
+        is_free = FreePort(address, first + i) != 0;
+      }
+    }
+    if (is_free) {
+      return first;
+    }
+  }
+}
+
 recorder::recorder(const std::filesystem::path& file)
     : file_(file), start_(steady_clock::now()) {}
 
@@ -158,6 +160,41 @@
   std::filesystem::remove_all(path_, ignored);
 }
 
+pid_t StartProcess(const std::string& role,
+                   const json& settings,
+                   const std::filesystem::path& folder,
+                   const std::string& name) {
+  const std::filesystem::path file = folder / (name + ".json");
+  std::ofstream(file) << settings.dump();
+  std::string program = "target/src/fireflyslip";
+  std::string command = role;
+  std::string boot = "FIREFLYSLIP_BOOT=" + file.string();
+  std::string path = "PATH=/usr/bin:/bin";
+  std::array<char*, 3> arguments{program.data(), command.data(), nullptr};
+  std::array<char*, 3> variables{boot.data(), path.data(), nullptr};
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
+                                   (folder / (name + ".log")).c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // Sockets of the stand-ins would stay open in the process.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+  pid_t pid = 0;
+  const int code = posix_spawn(&pid, program.c_str(), &actions, nullptr,
+                               arguments.data(), variables.data());
+  posix_spawn_file_actions_destroy(&actions);
+  if (code != 0) {
+    throw std::runtime_error("cannot start " + program);
+  }
+  Processes().Add(pid);
+  return pid;
+}
+
+void KillProcess(pid_t pid) {
+  Processes().Kill(pid);
+}
+
 object_store::object_store()
     : server_([this](testing::standin_connection& connection) {
         return Serve(connection);
@@ -174,6 +211,16 @@
   changed_.notify_all();
 }
 
+void object_store::Remove(const std::string& kind, const std::string& name) {
+  const std::scoped_lock lock(mutex_);
+  json object = objects_[kind].at(name);
+  object["metadata"]["revision"] = ++revision_;
+  objects_[kind].erase(name);
+  changes_.push_back(
+      {kind, revision_, {{"deleted", true}, {"eventObject", object}}});
+  changed_.notify_all();
+}
+
 bool object_store::Serve(testing::standin_connection& connection) {
   if (!connection.ReadBody()) {
     return false;
@@ -282,29 +329,27 @@
     : folder_(folder), address_("127.0.7.1") {
   callers_ = FreePort(address_);
   ready_ = FreePort(address_);
-  const std::uint16_t first = FreeRange(address_);
+  const std::uint16_t first = FreePorts({address_});
   const std::string local = address_ + ":";
-  const json settings = {
-      {"vm", "edge-akl-a-1"},
-      {"address", address_},
-      {"data_centre", kZone},
-      {"region", "akl"},
-      {"regions", {{kZone, "akl"}}},
-      {"callers", local + std::to_string(callers_)},
-      {"ready", local + std::to_string(ready_)},
-      {"internal_ports", {first, first + kInternalPorts - 1}},
-      {"platform", "127.0.0.1:" + std::to_string(store.port())},
-      {"link_mbps", 1000.0},
-      {"memory_mb", kMemoryBytes >> 20},
-      {"drain_timeout_ms", 8000},
-      {"upstream_drain_ms", 2000},
-      {"key_revocation_ms", 5000},
-      {"rollout_ms", 8000},
-      {"startup_grace_ms", 3000},
-      {"retry_ratio", 0.2},
-      {"retry_window_s", 10},
-      {"retry_allowance", 104}};
-  std::ofstream(folder_ / "settings.json") << settings.dump();
+  settings_ = {{"vm", "edge-akl-a-1"},
+               {"address", address_},
+               {"data_centre", kZone},
+               {"region", "akl"},
+               {"regions", {{kZone, "akl"}}},
+               {"callers", local + std::to_string(callers_)},
+               {"ready", local + std::to_string(ready_)},
+               {"internal_ports", {first, first + kInternalPorts - 1}},
+               {"platform", "127.0.0.1:" + std::to_string(store.port())},
+               {"link_mbps", 1000.0},
+               {"memory_mb", kMemoryBytes >> 20},
+               {"drain_timeout_ms", 8000},
+               {"upstream_drain_ms", 2000},
+               {"key_revocation_ms", 5000},
+               {"rollout_ms", 8000},
+               {"startup_grace_ms", 3000},
+               {"retry_ratio", 0.2},
+               {"retry_window_s", 10},
+               {"retry_allowance", 104}};
 }
 
 gateway_process::~gateway_process() {
@@ -312,31 +357,12 @@
 }
 
 void gateway_process::Start() {
-  std::string program = "target/src/fireflyslip";
-  std::string role = "gateway";
-  std::string boot = "FIREFLYSLIP_BOOT=" + (folder_ / "settings.json").string();
-  std::string path = "PATH=/usr/bin:/bin";
-  std::array<char*, 3> arguments{program.data(), role.data(), nullptr};
-  std::array<char*, 3> variables{boot.data(), path.data(), nullptr};
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
-                                   (folder_ / "gateway.log").c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
-  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-  const int code = posix_spawn(&pid_, program.c_str(), &actions, nullptr,
-                               arguments.data(), variables.data());
-  posix_spawn_file_actions_destroy(&actions);
-  if (code != 0) {
-    pid_ = 0;
-    throw std::runtime_error("cannot start " + program);
-  }
-  Processes().Add(pid_);
+  pid_ = StartProcess("gateway", settings_, folder_, "gateway");
 }
 
 void gateway_process::Kill() {
   if (pid_ != 0) {
-    Processes().Kill(std::exchange(pid_, 0));
+    KillProcess(std::exchange(pid_, 0));
   }
 }
 
@@ -348,10 +374,10 @@
          state.si_pid == 0;
 }
 
-bool gateway_process::AwaitReady() const {
+bool AwaitReady(const std::string& address, std::uint16_t port) {
   const auto end = steady_clock::now() + kReadyTimeout;
   while (steady_clock::now() < end) {
-    client_connection connection(address_, ready_);
+    client_connection connection(address, port);
     if (connection.is_open() &&
         connection.Send(
             "GET /fireflyslip/readyz HTTP/1.1\r\nHost: a\r\n\r\n") &&
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -62,6 +62,21 @@
   std::filesystem::path path_;
 };
 
+/// \brief First of 16 consecutive ports that are free on all addresses.
+std::uint16_t FreePorts(const std::vector<std::string>& addresses);
+
+/// \brief Starts `fireflyslip ROLE` with a settings file. Its output is
+/// appended to the file NAME.log in the folder.
+pid_t StartProcess(const std::string& role,
+                   const nlohmann::json& settings,
+                   const std::filesystem::path& folder,
+                   const std::string& name);
+/// \brief Ends a process that was started here.
+void KillProcess(pid_t pid);
+
+/// \brief Whether a gateway reports itself ready within 30 s.
+bool AwaitReady(const std::string& address, std::uint16_t port);
+
 /// \brief Stand-in for the platform's store: lists and watches of objects.
 class object_store {
  public:
@@ -71,6 +86,7 @@
   void Put(const std::string& kind,
            const std::string& name,
            const nlohmann::json& spec);
+  void Remove(const std::string& kind, const std::string& name);
 
  private:
   struct change {
@@ -137,8 +153,7 @@
   /// \brief Ends the process without notice.
   void Kill();
   bool IsRunning() const;
-  /// \brief Waits until the gateway reports itself ready; false after 30 s.
-  bool AwaitReady() const;
+  bool AwaitReady() const { return review::AwaitReady(address_, ready_); }
   /// \brief Resident memory in bytes; 0 if the process has ended.
   std::size_t ResidentBytes() const;
 
@@ -147,6 +162,7 @@
 
  private:
   std::filesystem::path folder_;
+  nlohmann::json settings_;
   std::string address_;
   std::uint16_t callers_ = 0;
   std::uint16_t ready_ = 0;
