--- a/review/rig-3/model_fleet.cc
+++ b/review/rig-3/model_fleet.cc
@@ -28,7 +28,7 @@
 constexpr std::size_t kQueue = 24;
 constexpr microseconds kPass{50'000};  // five steps, for one event each
 constexpr double kPromptTokensPerMs = 20.7;
-constexpr std::size_t kPromptTokensPerPass = 5 * 2048;
+constexpr std::size_t kPromptTokensPerPass = 10'240;
 constexpr milliseconds kWarmup{300};
 constexpr milliseconds kHeartbeat{1200};
 constexpr milliseconds kEntryLifetime = 3 * kHeartbeat;
@@ -298,39 +298,49 @@
 }
 
 awaitable<void> model_replica::Serve(std::shared_ptr<async_connection> client) {
-  message request;
-  for (bool open = true; open;) {
-    open = co_await client->ReadHead(request);
-    if (open) {
-      open = co_await client->ReadBody(request);
-    }
+  for (;;) {
+    const bool open = co_await ServeRequest(client);
     if (!open) {
       co_return;
     }
-    const std::string target = request.target();
-    if (target == "/fireflyslip/report") {
-      json report = Report();
-      report["busy"] = loading_;
-      report["sequence"] = orders_;
-      report["queued"] = queue_.size();
-      report["active"] = running_.size();
-      report["kvUsage"] = 0;
-      report["kvCapacity"] = 317000;
-      report["kvHandles"] = 0;
-      report["pace"] = 1.0;
-      std::string answer = testing::FormatResponse(
-          200, report.dump(), {{"Content-Type", "application/json"}});
-      open = co_await client->Write(std::move(answer));
-    } else if (target.starts_with("/fireflyslip/stage-")) {
-      open = co_await ServeStage(*client, request);
-    } else if (target == "/fireflyslip/order") {
-      open = co_await ServeOrder(*client, request);
-    } else {
-      open = co_await ServeModel(client, request);
-    }
   }
 }
 
+awaitable<bool> model_replica::ServeRequest(
+    std::shared_ptr<async_connection> client) {
+  message request;
+  const bool has_head = co_await client->ReadHead(request);
+  if (!has_head) {
+    co_return false;
+  }
+  const bool has_body = co_await client->ReadBody(request);
+  if (!has_body) {
+    co_return false;
+  }
+  const std::string target = request.target();
+  if (target == "/fireflyslip/report") {
+    json report = Report();
+    report["busy"] = loading_;
+    report["sequence"] = orders_;
+    report["queued"] = queue_.size();
+    report["active"] = running_.size();
+    report["kvUsage"] = 0;
+    report["kvCapacity"] = 317000;
+    report["kvHandles"] = 0;
+    report["pace"] = 1.0;
+    std::string answer = testing::FormatResponse(
+        200, report.dump(), {{"Content-Type", "application/json"}});
+    co_return co_await client->Write(std::move(answer));
+  }
+  if (target.starts_with("/fireflyslip/stage-")) {
+    co_return co_await ServeStage(*client, request);
+  }
+  if (target == "/fireflyslip/order") {
+    co_return co_await ServeOrder(*client, request);
+  }
+  co_return co_await ServeModel(client, request);
+}
+
 awaitable<bool> model_replica::ServeStage(async_connection& client,
                                           const message& request) {
   const std::size_t index = QueryNumber(request.target(), "itemCount");
@@ -536,6 +546,7 @@
         return ServeOrigin(connection);
       }) {
   std::vector<std::string> addresses;
+  addresses.reserve(kGateways + kReplicas);
   for (int i = 0; i < kGateways; ++i) {
     addresses.push_back(EdgeAddress(i));
   }
@@ -544,6 +555,9 @@
   }
   internal_port_ = FreePorts(addresses);
   const std::uint16_t ports = FreePorts(addresses);
+  callers_.reserve(kGateways);
+  ready_.reserve(kGateways);
+  replicas_.reserve(kReplicas);
   for (int i = 0; i < kGateways; ++i) {
     callers_.push_back(ports);
     ready_.push_back(ports + 1);
--- a/review/rig-3/model_fleet.h
+++ b/review/rig-3/model_fleet.h
@@ -105,6 +105,8 @@
 
   boost::asio::awaitable<void> Accept(int incarnation);
   boost::asio::awaitable<void> Serve(std::shared_ptr<async_connection> client);
+  boost::asio::awaitable<bool> ServeRequest(
+      std::shared_ptr<async_connection> client);
   boost::asio::awaitable<bool> ServeStage(async_connection& client,
                                           const message& request);
   boost::asio::awaitable<bool> ServeOrder(async_connection& client,
