--- a/review/rig-3/model_fleet.cc
+++ b/review/rig-3/model_fleet.cc
@@ -384,11 +384,17 @@
     std::shared_ptr<async_connection> client,
     message request) {
   const int incarnation = incarnation_;
+  if (request.Field("expect-instance") != id()) {
+    std::string answer =
+        testing::FormatResponse(421, "",
+                                {{"Not-Executed", "1"},
+                                 {"Instance-Id", id()},
+                                 {"Attempt-Id", request.Field("attempt-id")}});
+    co_return co_await client->Write(std::move(answer));
+  }
   observer_.OnArrival(request);
   int refusal = 0;
-  if (request.Field("expect-instance") != id()) {
-    refusal = 421;
-  } else if (version_ == 0 || loading_ || queue_.size() >= kQueue) {
+  if (version_ == 0 || loading_ || queue_.size() >= kQueue) {
     refusal = 503;
   }
   if (refusal != 0) {
--- a/review/rig-3/rig.cc
+++ b/review/rig-3/rig.cc
@@ -5,8 +5,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <spawn.h>
 #include <stdlib.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -15,6 +15,7 @@
 #include <array>
 #include <cctype>
 #include <csignal>
+#include <future>
 #include <iostream>
 #include <set>
 #include <stdexcept>
@@ -57,6 +58,71 @@
   std::set<pid_t> pids_;
 };
 
+/// Starts processes on a thread that lasts as long as this process: the kernel
+/// ends them with the thread that started them.
+class process_starter {
+ public:
+  process_starter() : thread_([this] { Run(); }) { thread_.detach(); }
+
+  pid_t Start(const std::string& program,
+              char* const* arguments,
+              char* const* variables,
+              const std::string& log) {
+    std::promise<pid_t> started;
+    std::future<pid_t> result = started.get_future();
+    {
+      const std::scoped_lock lock(mutex_);
+      order_ = [&] {
+        started.set_value(Fork(program, arguments, variables, log));
+      };
+    }
+    changed_.notify_all();
+    return result.get();
+  }
+
+ private:
+  static pid_t Fork(const std::string& program,
+                    char* const* arguments,
+                    char* const* variables,
+                    const std::string& log) {
+    const pid_t parent = ::getpid();
+    const pid_t pid = ::fork();
+    if (pid != 0) {
+      return pid;
+    }
+    // Only functions that are safe after a fork of one of several threads.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    if (::getppid() != parent || output < 0) {
+      ::_exit(kCannotRun);
+    }
+    ::dup2(output, STDOUT_FILENO);
+    ::dup2(output, STDERR_FILENO);
+    // Sockets of the stand-ins would stay open in the process.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
+    ::execve(program.c_str(), arguments, variables);
+    ::_exit(kCannotRun);
+  }
+
+  void Run() {
+    std::unique_lock lock(mutex_);
+    for (;;) {
+      changed_.wait(lock, [this] { return order_ != nullptr; });
+      std::exchange(order_, nullptr)();
+    }
+  }
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::function<void()> order_;
+  std::thread thread_;
+};
+
+process_starter& Starter() {
+  static auto* const starter = new process_starter();
+  return *starter;
+}
+
 process_list& Processes() {
   static process_list list;
   return list;
@@ -160,6 +226,10 @@
   std::filesystem::remove_all(path_, ignored);
 }
 
+void EndWithParent() {
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
 pid_t StartProcess(const std::string& role,
                    const json& settings,
                    const std::filesystem::path& folder,
@@ -172,19 +242,10 @@
   std::string path = "PATH=/usr/bin:/bin";
   std::array<char*, 3> arguments{program.data(), command.data(), nullptr};
   std::array<char*, 3> variables{boot.data(), path.data(), nullptr};
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
-                                   (folder / (name + ".log")).c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
-  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-  // Sockets of the stand-ins would stay open in the process.
-  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-  pid_t pid = 0;
-  const int code = posix_spawn(&pid, program.c_str(), &actions, nullptr,
-                               arguments.data(), variables.data());
-  posix_spawn_file_actions_destroy(&actions);
-  if (code != 0) {
+  const std::string log = (folder / (name + ".log")).string();
+  const pid_t pid =
+      Starter().Start(program, arguments.data(), variables.data(), log);
+  if (pid <= 0) {
     throw std::runtime_error("cannot start " + program);
   }
   Processes().Add(pid);
@@ -427,6 +488,7 @@
     const ssize_t sent =
         ::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (sent <= 0) {
+      closed_ = true;
       return false;
     }
     bytes.remove_prefix(static_cast<std::size_t>(sent));
@@ -443,6 +505,7 @@
   if (is_open() && left.count() > 0 &&
       ::poll(&waited, 1, static_cast<int>(left.count())) == 1) {
     size = ::recv(socket_, part.data(), limit, 0);
+    closed_ = closed_ || size <= 0;
   }
   part.resize(static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
   return part;
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -65,8 +65,12 @@
 /// \brief First of 16 consecutive ports that are free on all addresses.
 std::uint16_t FreePorts(const std::vector<std::string>& addresses);
 
+/// \brief Lets this process end with the script that started it.
+void EndWithParent();
+
 /// \brief Starts `fireflyslip ROLE` with a settings file. Its output is
-/// appended to the file NAME.log in the folder.
+/// appended to the file NAME.log in the folder. It ends with this process, also
+/// if that is killed.
 pid_t StartProcess(const std::string& role,
                    const nlohmann::json& settings,
                    const std::filesystem::path& folder,
@@ -191,6 +195,8 @@
   client_connection& operator=(const client_connection&) = delete;
 
   bool is_open() const { return socket_ >= 0; }
+  /// \brief Whether the server has closed or reset the connection.
+  bool was_closed() const { return closed_; }
   bool Send(std::string_view bytes);
   /// \brief Reads the head of an answer and the part of the body that came
   /// with it.
@@ -203,6 +209,7 @@
 
  private:
   int socket_ = -1;
+  bool closed_ = false;
 };
 
 /// \brief Head of a request of a client, with an empty line at its end.
