--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -1,9 +1,12 @@
 #include "fireflyslip/http/http_client.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -143,6 +146,14 @@
   }
 };
 
+/// \brief Whether both directions of a connection have ended, as they do when
+/// it is reset. A server that only ends its response leaves the other one open.
+bool HasHungUp(beast::tcp_stream& stream) {
+  pollfd connection{stream.socket().native_handle(), 0, 0};
+  return ::poll(&connection, 1, 0) > 0 &&
+         (connection.revents & (POLLHUP | POLLERR)) != 0;
+}
+
 bool IsReusable(beast::tcp_stream& stream) {
   // A non-blocking peek detects both a closed connection and unexpected bytes.
   beast::error_code code;
@@ -153,6 +164,36 @@
   return code == asio::error::would_block;
 }
 
+/// \brief Progress of writing a request, which may go on while its response is
+/// read.
+class request_write {
+ public:
+  explicit request_write(asio::io_context& context)
+      : end_(context, clock_type::time_point::max()) {}
+
+  void End(const beast::error_code& code) {
+    result_ = code;
+    end_.cancel();
+  }
+
+  /// \brief Result of the write; empty until its end.
+  const std::optional<beast::error_code>& result() const { return result_; }
+  bool succeeded() const { return result_ && !*result_; }
+
+  /// \brief Waits for the end of the write.
+  awaitable<void> AwaitEnd(duration timeout) {
+    if (!result_) {
+      beast::error_code ignored;
+      end_.expires_after(timeout);
+      co_await end_.async_wait(RedirectError(ignored));
+    }
+  }
+
+ private:
+  asio::steady_timer end_;
+  std::optional<beast::error_code> result_;
+};
+
 }  // namespace
 
 class http_client::state : public std::enable_shared_from_this<state> {
@@ -315,7 +356,7 @@
               client_connection connection,
               std::uint64_t request,
               std::shared_ptr<call_canceller> canceller,
-              std::shared_ptr<bool> request_written)
+              std::shared_ptr<request_write> write)
       : pool_(std::move(pool)),
         endpoint_(std::move(endpoint)),
         stream_(connection.stream),
@@ -323,7 +364,7 @@
         connection_(std::move(connection)),
         request_(request),
         canceller_(std::move(canceller)),
-        request_written_(std::move(request_written)) {
+        write_(std::move(write)) {
     ResetParser();
   }
   ~body_reader() override {
@@ -358,7 +399,7 @@
 
   const http_response& head() const override { return head_; }
   bool connection_reused() const override { return connection_reused_; }
-  bool complete() const override { return parser_->is_done(); }
+  bool complete() const override { return parser_->is_done() && !cut_off_; }
 
   awaitable<result<std::string>> Read(duration timeout) override {
     std::string part(kReadSize, '\0');
@@ -372,6 +413,10 @@
       if (code == http::error::need_buffer) {
         code = {};
       }
+      if (!code && parser_->is_done() && parser_->need_eof()) {
+        code = co_await CheckEndOfConnection(timeout);
+        cut_off_ = code.failed();
+      }
       if (code) {
         co_return ReadError(code);
       }
@@ -411,7 +456,7 @@
   void ReleaseConnection() override {
     const std::shared_ptr<Pool> pool = pool_.lock();
     if (pool && stream_ && parser_->is_done() && parser_->keep_alive() &&
-        buffer_.size() == 0 && *request_written_) {
+        buffer_.size() == 0 && write_->succeeded()) {
       if (canceller_) {
         canceller_->set_close(nullptr);
       }
@@ -433,6 +478,24 @@
     parser_->header_limit(kMaxHeadBytes);
   }
 
+  /// \brief Whether the end of the connection is the one that the server gave
+  /// to its response. A socket reports a reset once: if the write gets that
+  /// error, the read that follows sees the end of the connection instead.
+  awaitable<beast::error_code> CheckEndOfConnection(duration timeout) {
+    if (!write_->result() && HasHungUp(*stream_)) {
+      co_await write_->AwaitEnd(timeout);
+      if (!write_->result()) {
+        co_return beast::error::timeout;
+      }
+    }
+    const beast::error_code written =
+        write_->result().value_or(beast::error_code());
+    // After the server has ended its response in order, a reset fails the write
+    // with this error instead.
+    const bool ended_in_order = written == asio::error::broken_pipe;
+    co_return ended_in_order ? beast::error_code() : written;
+  }
+
   error ReadError(const beast::error_code& code) const {
     if (code == http::error::header_limit) {
       return RejectOversizeResponse(endpoint_, response_part::kHead,
@@ -452,7 +515,8 @@
   client_connection connection_;
   const std::uint64_t request_;
   std::shared_ptr<call_canceller> canceller_;
-  std::shared_ptr<bool> request_written_;
+  std::shared_ptr<request_write> write_;
+  bool cut_off_ = false;  // the connection ended before the response
   beast::flat_buffer buffer_{kMaxBufferedBytes};
   std::optional<http::response_parser<http::buffer_body>> parser_;
   http_response head_;
@@ -461,10 +525,10 @@
 awaitable<beast::error_code> WriteMessage(
     stream_pointer stream,
     std::shared_ptr<request_message> message,
-    std::shared_ptr<bool> request_written) {
+    std::shared_ptr<request_write> write) {
   beast::error_code code;
   co_await http::async_write(*stream, message->message, RedirectError(code));
-  *request_written = !code;
+  write->End(code);
   co_return code;
 }
 
@@ -500,16 +564,16 @@
                         "timed out before the request was sent");
   }
   stream->expires_after(remaining);
-  const auto request_written = std::make_shared<bool>(false);
+  const auto write = std::make_shared<request_write>(context_);
   beast::error_code code;
   if (message->body->size() > kConcurrentWriteThreshold) {
-    asio::co_spawn(context_, WriteMessage(stream, message, request_written),
+    asio::co_spawn(context_, WriteMessage(stream, message, write),
                    [](const std::exception_ptr&, const beast::error_code&) {});
   } else {
-    code = co_await WriteMessage(stream, message, request_written);
+    code = co_await WriteMessage(stream, message, write);
   }
-  auto reader = std::make_shared<body_reader<state>>(
-      self, endpoint, connection, id_hash, canceller, request_written);
+  auto reader = std::make_shared<body_reader<state>>(self, endpoint, connection,
+                                                     id_hash, canceller, write);
   if (code) {
     co_return MakeError(endpoint, error_kind::kUpstreamFailed, code.message());
   }
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -69,13 +69,23 @@
     return entry;
   }
 
-  void Configure() {
+  /// \brief Route of a stream that may or may not be resumed.
+  static route MakeStreamRoute(const std::string& prefix,
+                               request_idempotency repeat) {
+    route entry = MakeRoute(prefix, repeat);
+    entry.streaming = true;
+    return entry;
+  }
+
+  void Configure(const client_limits& limits = {}) {
     auto catalog = std::make_shared<deployment>();
     catalog->version = 1;
     catalog->routes = route_table(
         {MakeRoute("/book/", request_idempotency::kNonIdempotent),
          MakeRoute("/look/", request_idempotency::kIdempotent),
-         MakeRoute("/chat/", request_idempotency::kResumableStream)});
+         MakeRoute("/chat/", request_idempotency::kResumableStream),
+         MakeStreamRoute("/say/", request_idempotency::kNonIdempotent)});
+    catalog->limits = limits;
     catalog->keys_required = true;
     catalog->keys["key"] = {workspace_id("w"), std::nullopt};
     gateway_->SetDeployment(catalog);
@@ -322,12 +332,17 @@
 
   /// Lists the upstream behind `acceptor_` as the local one.
   void AddRawEntry(const std::string& id) {
+    AddRawEntry(id, acceptor_->local_endpoint().port(), "akl");
+  }
+
+  void AddRawEntry(const std::string& id,
+                   std::uint16_t port,
+                   const std::string& data_centre) {
     upstream_entry entry;
     entry.id = upstream_id(id);
     entry.service = service_name("s");
-    entry.address =
-        "127.0.0.1:" + std::to_string(acceptor_->local_endpoint().port());
-    entry.data_centre = data_centre_id("akl");
+    entry.address = "127.0.0.1:" + std::to_string(port);
+    entry.data_centre = data_centre_id(data_centre);
     entry.slots = 8;
     entries_[entry.id] = entry;
     // The next upstream counts as a remote one.
