--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -376,9 +376,10 @@
   awaitable<status> ReadHead(duration timeout) {
     stream_->expires_after(timeout);
     for (std::size_t interim = 0; interim <= kMaxInterimResponses; ++interim) {
-      beast::error_code code;
-      co_await http::async_read_header(*stream_, buffer_, *parser_,
-                                       RedirectError(code));
+      beast::error_code code = co_await ReceiveHead();
+      if (!code) {
+        buffer_.consume(parser_->put(buffer_.data(), code));
+      }
       if (code) {
         co_return ReadError(code);
       }
@@ -478,6 +479,33 @@
     parser_->header_limit(kMaxHeadBytes);
   }
 
+  /// \brief Receives a head into the buffer. The parser joins folded lines, so
+  /// they are rejected here (RFC 9112, section 5.2): a field whose name begins
+  /// with a blank would become a part of the field before it.
+  awaitable<beast::error_code> ReceiveHead() {
+    beast::error_code code;
+    while (!code) {
+      const std::string_view received(
+          static_cast<const char*>(buffer_.data().data()), buffer_.size());
+      const std::size_t end = received.find("\r\n\r\n");
+      if (end != std::string_view::npos) {
+        const std::string_view head = received.substr(0, end);
+        const bool is_folded = head.find("\r\n ") != std::string_view::npos ||
+                               head.find("\r\n\t") != std::string_view::npos;
+        co_return is_folded ? http::error::bad_obs_fold : beast::error_code();
+      }
+      if (received.size() >= kMaxHeadBytes) {
+        co_return http::error::header_limit;
+      }
+      const auto space =
+          buffer_.prepare(beast::read_size(buffer_, kMaxHeadBytes));
+      const std::size_t size =
+          co_await stream_->async_read_some(space, RedirectError(code));
+      buffer_.commit(size);
+    }
+    co_return code;
+  }
+
   /// \brief Whether the end of the connection is the one that the server gave
   /// to its response. A socket reports a reset once: if the write gets that
   /// error, the read that follows sees the end of the connection instead.
--- a/tests/gateway/broken_answer_test.cc
+++ b/tests/gateway/broken_answer_test.cc
@@ -272,13 +272,15 @@
   }
 }
 
-// Guards against "not run" for a request whose refusal is broken off, and
+// Guards against "not run" for a request whose refusal is broken or spoilt, and
 // against the loss of a refusal that is whole before a reset.
 TEST_F(broken_answer_test, Refusal_NoOtherUpstream_NotRunOnlyIfStated) {
   const std::string refusal = Head("503", "Not-Executed: 1\r\n");
   const std::string empty = "Content-Length: 0\r\n\r\n";
   const std::vector<std::pair<std::string, int>> answers = {
-      {refusal + empty, 503}, {refusal.substr(0, refusal.size() - 2), 502}};
+      {refusal + empty, 503},
+      {refusal.substr(0, refusal.size() - 2), 502},
+      {refusal + "\tX-Other: 1\r\n" + empty, 502}};
   for (const auto& [bytes, status] : answers) {
     for (const std::size_t upload :
          {std::size_t{4}, abrupt_server::kLongUpload}) {
@@ -290,5 +292,28 @@
   }
 }
 
+// Guards against an answer in whose head the name of a field holds a blank or a
+// control byte: it is forwarded with that line, or with another body.
+TEST_F(broken_answer_test, FieldName_BlankOrControlByte_NotBelieved) {
+  std::vector<std::string> names = OddFieldNames("Content-Length");
+  for (std::string& name : OddFieldNames("X-Other")) {
+    names.push_back(std::move(name));
+  }
+  for (const std::string& name : names) {
+    for (const std::string route : {"/book/", "/look/", "/chat/", "/say/"}) {
+      SCOPED_TRACE(route + testing::PrintToString(name));
+      const bool streaming = route == "/chat/" || route == "/say/";
+      const std::string body = streaming ? kFirstEvent : kBody;
+      std::string bytes = streaming ? StreamHead() : Head("200");
+      bytes.append("X-First: 1\r\n").append(name).append(": ");
+      bytes.append(std::to_string(body.size())).append("\r\n\r\n");
+      // The second copy does not belong to a body of that length.
+      bytes.append(body).append(body);
+      SetUpstreams({bytes, ending::kFinish});
+      ExpectNotBelieved(route, Upload(route, false, 4));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace fireflyslip
--- a/tests/http/abrupt_server.h
+++ b/tests/http/abrupt_server.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "fireflyslip/core/time.h"
 #include "fireflyslip/http/http_message.h"
@@ -177,6 +178,36 @@
   return head;
 }
 
+/// \brief Names of fields that hold a blank or a control byte, in each place.
+inline std::vector<std::string> OddFieldNames(const std::string& name) {
+  constexpr unsigned char kBlank = 0x20;
+  constexpr unsigned char kDelete = 0x7f;
+  std::vector<std::string> names;
+  for (unsigned char byte = 0; byte <= kDelete; ++byte) {
+    if (byte > kBlank && byte < kDelete) {
+      continue;
+    }
+    for (const std::size_t place :
+         {std::size_t{0}, name.size() / 2, name.size()}) {
+      std::string odd = name;
+      odd.insert(place, 1, static_cast<char>(byte));
+      names.push_back(std::move(odd));
+    }
+  }
+  return names;
+}
+
+/// \brief Answers of no sound server, each with a body that could be believed.
+inline std::vector<abrupt_answer> SpoiltAnswers(const std::string& body) {
+  using ending = abrupt_answer::ending;
+  const std::string first = "HTTP/1.1 200 OK\r\nETag: \"2\"\r\n";
+  const std::string length =
+      "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  return {{first + "X-Other: 1\r\n\tX-Odd: 1\r\n" + length + body},
+          {first + "X-Other: 1\r\n " + length + body, ending::kFinish},
+          {first + "X-Od\x01" + "d: 1\r\n" + length + body}};
+}
+
 /// \brief Answer without a length that is reset before the upload ends.
 inline abrupt_answer ResetAnswer(const std::string& body) {
   return {"HTTP/1.1 200 OK\r\nETag: \"2\"\r\n\r\n" + body,
--- a/tests/http/broken_response_test.cc
+++ b/tests/http/broken_response_test.cc
@@ -184,5 +184,35 @@
   }
 }
 
+// Guards against a field whose name holds a blank or a control byte: its line
+// is taken for a part of the field before, so that the body has another end.
+TEST_F(broken_response_test, FieldName_BlankOrControlByte_Fails) {
+  for (const std::string& name : OddFieldNames("Content-Length")) {
+    for (const std::string first : {"", "X-First: 1\r\n"}) {
+      SCOPED_TRACE(first + testing::PrintToString(name));
+      std::string bytes = kHead;
+      bytes.append(first).append(name).append(": 3\r\nX-Last: 1\r\n\r\n");
+      ExpectFailure(Send({bytes.append(kBody), ending::kFinish}, 0));
+    }
+  }
+  for (const std::string& name : OddFieldNames("X-Other")) {
+    SCOPED_TRACE(testing::PrintToString(name));
+    std::string head = kHead;
+    head.append(name).append(": 3\r\n");
+    for (const body_framing framing : kAllFramings) {
+      ExpectFailure(
+          Send({WithBody(head, framing, kBody, false), ending::kFinish}, 0));
+    }
+    // Within an interim response, and after one.
+    std::string interim = "HTTP/1.1 103 Early Hints\r\n";
+    const std::string after = interim + "\r\n";
+    interim.append("X-First: 1\r\n").append(name).append(": 3\r\n\r\n");
+    ExpectFailure(Send(
+        {WithBody(interim + kHead, body_framing::kLength, kBody, false)}, 0));
+    ExpectFailure(
+        Send({WithBody(after + head, body_framing::kLength, kBody, false)}, 0));
+  }
+}
+
 }  // namespace
 }  // namespace fireflyslip
--- a/tests/program/broken_answer_test.cc
+++ b/tests/program/broken_answer_test.cc
@@ -8,6 +8,7 @@
 #include "fireflyslip/runtime.h"
 #include "http/abrupt_server.h"
 #include "http/repeating_server.h"
+#include "program/chunk_transfer.h"
 #include "program/engine_client.h"
 #include "program/upstream_call.h"
 
@@ -46,6 +47,27 @@
   const std::string long_upload_ = std::string(abrupt_server::kLongUpload, 'x');
 };
 
+// Guards against an answer of a service, engine or store of the system's own
+// interfaces that is believed though its head is not sound.
+TEST_F(program_broken_answer_test, AnyServer_SpoiltHead_NotBelieved) {
+  const std::string body = "chunk";
+  for (const abrupt_answer& answer : SpoiltAnswers(body)) {
+    SCOPED_TRACE(answer.bytes);
+    abrupt_server server = Serve(answer);
+    EXPECT_FALSE(IsOk(CallService(server.endpoint(), "body")));
+    EXPECT_EQ(Load(server.endpoint(), "{}"), orders::order_result::kUnknown);
+    object_client store(context_, server.endpoint());
+    EXPECT_FALSE(IsOk(RunCall(context_, store.Put("journal", 0, "a"))));
+    EXPECT_FALSE(IsOk(RunCall(context_, store.Get("journal"))));
+    http_client client(context_);
+    chunk_entry chunk;
+    chunk.name = digest::Of(body);
+    chunk.size = body.size();
+    chunk_transfer transfer(client, server.endpoint(), chunk);
+    EXPECT_FALSE(IsOk(RunCall(context_, transfer.Run())));
+  }
+}
+
 // Guards against a part of an answer that is taken for a whole one, because the
 // server resets the connection while the request is still being written.
 TEST_F(program_broken_answer_test, AnyServer_ResetDuringUpload_NotBelieved) {
--- a/tests/stager/stager_test.cc
+++ b/tests/stager/stager_test.cc
@@ -157,11 +157,15 @@
                                          response_writer& writer) {
     http_response response;
     response.status = 404;
+    if (peer_folds_line_) {
+      response.fields = {{"X-First", "1"}, {"\tX-Odd", "1"}};
+    }
     for (std::size_t i = 0; i < kChunks; ++i) {
       if (request.path() == ManifestPath(2)) {
         response.status = 200;
         response.body += digest::Of(ChunkOf("m", 2, i)).ToHex() + "\n";
       } else if (request.path() == ChunkTarget(2, i, true)) {
+        ++peer_chunks_;
         response.status = 200;
         response.body = ChunkOf("m", 2, i);
       }
@@ -231,7 +235,9 @@
   std::string endless_path_;  // prefix of requests to the replica and origin
   std::size_t longest_body_ = 0;
   std::unique_ptr<http_server> peer_;
-  bool has_chunks_ = false;  // the origin provides them
+  std::size_t peer_chunks_ = 0;   // answers with a chunk
+  bool peer_folds_line_ = false;  // in the head of each answer
+  bool has_chunks_ = false;       // the origin provides them
   std::map<std::size_t, std::string> staged_;
   std::uint64_t loaded_version_ = 1;
   std::function<void(std::size_t)> on_read_ = [](std::size_t) {};
@@ -380,5 +386,19 @@
   ASSERT_TRUE(RunUntil([&] { return loaded_version_ == 2; }));
 }
 
+// Guards against manifests and chunks that are taken from an answer in whose
+// head the name of a field begins with a control byte.
+TEST_F(stager_test, Peer_FoldsLineOfHead_NotBelieved) {
+  peer_folds_line_ = true;
+  AddPeer();
+  ASSERT_TRUE(IsOk(stager_->Start()));
+  ASSERT_TRUE(RunUntil([&] { return peer_chunks_ > 0; }));
+  context_.run_for(seconds(1));
+  EXPECT_TRUE(staged_.empty());
+  // A sound answer of the same peer is believed.
+  peer_folds_line_ = false;
+  EXPECT_TRUE(RunUntil([&] { return loaded_version_ == 2; }));
+}
+
 }  // namespace
 }  // namespace fireflyslip
