--- a/tests/gateway/broken_answer_test.cc
+++ b/tests/gateway/broken_answer_test.cc
@@ -280,7 +280,8 @@
   const std::vector<std::pair<std::string, int>> answers = {
       {refusal + empty, 503},
       {refusal.substr(0, refusal.size() - 2), 502},
-      {refusal + "\tX-Other: 1\r\n" + empty, 502}};
+      {refusal + "\tX-Other: 1\r\n" + empty, 502},
+      {Head("000", "Not-Executed: 1\r\n") + empty, 502}};
   for (const auto& [bytes, status] : answers) {
     for (const std::size_t upload :
          {std::size_t{4}, abrupt_server::kLongUpload}) {
--- a/tests/http/abrupt_server.h
+++ b/tests/http/abrupt_server.h
@@ -205,7 +205,8 @@
       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
   return {{first + "X-Other: 1\r\n\tX-Odd: 1\r\n" + length + body},
           {first + "X-Other: 1\r\n " + length + body, ending::kFinish},
-          {first + "X-Od\x01" + "d: 1\r\n" + length + body}};
+          {first + "X-Od\x01" + "d: 1\r\n" + length + body},
+          {"HTTP/1.1 000 X\r\nETag: \"2\"\r\n" + length + body}};
 }
 
 /// \brief Answer without a length that is reset before the upload ends.
--- a/tests/http/broken_response_test.cc
+++ b/tests/http/broken_response_test.cc
@@ -214,5 +214,17 @@
   }
 }
 
+// Guards against a status that no server may send.
+TEST_F(broken_response_test, Status_OutOfRange_Fails) {
+  for (const std::string status : {"000", "099", "600", "999"}) {
+    for (const body_framing framing : kAllFramings) {
+      SCOPED_TRACE(status);
+      const std::string head = "HTTP/1.1 " + status + " Odd\r\n";
+      ExpectFailure(
+          Send({WithBody(head, framing, kBody, false), ending::kFinish}, 0));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace fireflyslip
