--- a/include/fireflyslip/http/http_client.h
+++ b/include/fireflyslip/http/http_client.h
@@ -23,8 +23,8 @@
   /// \brief Status line and header fields; the body is empty.
   virtual const http_response& head() const = 0;
   /// \brief Reads the next part of the body; empty at its end. Fails with
-  /// `kUpstreamFailed` if the connection breaks or no data arrives within the
-  /// timeout.
+  /// `kUpstreamFailed` if the connection breaks, also while the request is
+  /// still being written, or no data arrives within the timeout.
   virtual boost::asio::awaitable<result<std::string>> Read(
       duration timeout) = 0;
   /// \brief Reads the rest of this response, which is an earlier one that the
@@ -107,10 +107,14 @@
   /// \brief Sends a request and reads the whole response.
   ///
   /// Fails with `kNoUpstream` if no connection was established, so that nothing
-  /// was sent, and with `kUpstreamFailed` if the outcome is unknown. A response
-  /// with more bytes than expected fails with `kResponseTooLarge`, and its
-  /// connection is closed. A request that fails on a reused connection is not
-  /// retried. The connection of a response with status 400 or above is closed.
+  /// was sent, and with `kUpstreamFailed` if the outcome is unknown: nothing or
+  /// only a part of a response arrived, or its head has a folded line or a
+  /// status outside of 100 to 599 (RFC 9112, section 5.2, and RFC 9110, section
+  /// 15). A response with more bytes than expected fails with
+  /// `kResponseTooLarge`, and its connection is closed. A request that fails on
+  /// a reused connection is not retried. The connection of a response with
+  /// status 400 or above is closed.
+  ///
   /// \param timeout for the whole response, or only for its head if
   /// `read_timeout` is set.
   /// \param read_timeout longest time between two parts of the body; zero for
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -69,10 +69,9 @@
     return entry;
   }
 
-  /// \brief Route of a stream that may or may not be resumed.
-  static route MakeStreamRoute(const std::string& prefix,
-                               request_idempotency repeat) {
-    route entry = MakeRoute(prefix, repeat);
+  /// \brief Route of a stream that must not run twice.
+  static route MakeUnsafeStreamRoute(const std::string& prefix) {
+    route entry = MakeRoute(prefix, request_idempotency::kNonIdempotent);
     entry.streaming = true;
     return entry;
   }
@@ -80,11 +79,11 @@
   void Configure(const client_limits& limits = {}) {
     auto catalog = std::make_shared<deployment>();
     catalog->version = 1;
-    catalog->routes = route_table(
-        {MakeRoute("/book/", request_idempotency::kNonIdempotent),
-         MakeRoute("/look/", request_idempotency::kIdempotent),
-         MakeRoute("/chat/", request_idempotency::kResumableStream),
-         MakeStreamRoute("/say/", request_idempotency::kNonIdempotent)});
+    catalog->routes =
+        route_table({MakeRoute("/book/", request_idempotency::kNonIdempotent),
+                     MakeRoute("/look/", request_idempotency::kIdempotent),
+                     MakeRoute("/chat/", request_idempotency::kResumableStream),
+                     MakeUnsafeStreamRoute("/say/")});
     catalog->limits = limits;
     catalog->keys_required = true;
     catalog->keys["key"] = {workspace_id("w"), std::nullopt};
