--- a/tests/program/broken_answer_test.cc
+++ b/tests/program/broken_answer_test.cc
@@ -1,8 +1,10 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "fireflyslip/platform/object_client.h"
 #include "fireflyslip/runtime.h"
@@ -19,8 +21,11 @@
 /// believed if its head or the end of its body were not.
 class program_broken_answer_test : public testing::Test {
  protected:
-  abrupt_server Serve(const abrupt_answer& answer) {
-    return {context_, [answer](const std::string&) { return answer; }};
+  /// \brief Adds a server, which stays alive for connections that are open.
+  http_endpoint Serve(const abrupt_answer& answer) {
+    servers_.push_back(std::make_unique<abrupt_server>(
+        context_, [answer](const std::string&) { return answer; }));
+    return servers_.back()->endpoint();
   }
 
   orders::order_result Load(const http_endpoint& server, std::string manifest) {
@@ -44,6 +49,7 @@
   }
 
   boost::asio::io_context context_{1};
+  std::vector<std::unique_ptr<abrupt_server>> servers_;
   const std::string long_upload_ = std::string(abrupt_server::kLongUpload, 'x');
 };
 
@@ -53,17 +59,17 @@
   const std::string body = "chunk";
   for (const abrupt_answer& answer : SpoiltAnswers(body)) {
     SCOPED_TRACE(answer.bytes);
-    abrupt_server server = Serve(answer);
-    EXPECT_FALSE(IsOk(CallService(server.endpoint(), "body")));
-    EXPECT_EQ(Load(server.endpoint(), "{}"), orders::order_result::kUnknown);
-    object_client store(context_, server.endpoint());
+    const http_endpoint server = Serve(answer);
+    EXPECT_FALSE(IsOk(CallService(server, "body")));
+    EXPECT_EQ(Load(server, "{}"), orders::order_result::kUnknown);
+    object_client store(context_, server);
     EXPECT_FALSE(IsOk(RunCall(context_, store.Put("journal", 0, "a"))));
     EXPECT_FALSE(IsOk(RunCall(context_, store.Get("journal"))));
     http_client client(context_);
     chunk_entry chunk;
     chunk.name = digest::Of(body);
     chunk.size = body.size();
-    chunk_transfer transfer(client, server.endpoint(), chunk);
+    chunk_transfer transfer(client, server, chunk);
     EXPECT_FALSE(IsOk(RunCall(context_, transfer.Run())));
   }
 }
@@ -71,11 +77,11 @@
 // Guards against a part of an answer that is taken for a whole one, because the
 // server resets the connection while the request is still being written.
 TEST_F(program_broken_answer_test, AnyServer_ResetDuringUpload_NotBelieved) {
-  abrupt_server server = Serve(ResetAnswer("part"));
-  EXPECT_FALSE(IsOk(CallService(server.endpoint(), long_upload_)));
-  EXPECT_EQ(Load(server.endpoint(), "\"" + long_upload_ + "\""),
+  const http_endpoint server = Serve(ResetAnswer("part"));
+  EXPECT_FALSE(IsOk(CallService(server, long_upload_)));
+  EXPECT_EQ(Load(server, "\"" + long_upload_ + "\""),
             orders::order_result::kUnknown);
-  object_client store(context_, server.endpoint());
+  object_client store(context_, server);
   const auto written = RunCall(context_, store.Put("journal", 0, long_upload_));
   ASSERT_FALSE(IsOk(written));
   EXPECT_EQ(ErrorOf(written).kind, error_kind::kOutcomeUnknown);
